--- /dev/null
+++ b/internal/api/errors.go
@@ -0,0 +1,87 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// failureBody is the body of a request that fails before it reaches the
+// reducer: nothing ran.
+type failureBody struct {
+	RequestID string         `json:"request_id,omitempty"`
+	Outcome   model.Outcome  `json:"outcome"`
+	Error     *model.Failure `json:"error"`
+}
+
+// statusOf maps a failure code to an HTTP status.
+func statusOf(code model.Code) int {
+	switch code {
+	case model.CodeBadRequest, model.CodeIDRequired, model.CodeInvalid:
+		return http.StatusBadRequest
+	case model.CodeUnauthenticated:
+		return http.StatusUnauthorized
+	case model.CodeForbidden:
+		return http.StatusForbidden
+	case model.CodeUnknownService:
+		return http.StatusNotFound
+	case model.CodeConflict:
+		return http.StatusConflict
+	case model.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case model.CodeRateLimited:
+		return http.StatusTooManyRequests
+	case model.CodeInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// handleError writes errors of handlers and of echo itself as typed failures.
+func handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	failure := failureOf(err)
+	status := statusOf(failure.Code)
+	var httpError *echo.HTTPError
+	if errors.As(err, &httpError) && failure.Code == model.CodeBadRequest {
+		status = httpError.Code
+	}
+	// A failed write means that the caller is gone.
+	_ = c.JSON(status, failureBody{Outcome: model.NotRun, Error: failure})
+}
+
+// failureOf returns the typed failure of an error.
+func failureOf(err error) *model.Failure {
+	var failure *model.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	var httpError *echo.HTTPError
+	if errors.As(err, &httpError) {
+		return httpFailure(httpError)
+	}
+	var idError *model.IDError
+	if errors.As(err, &idError) {
+		return model.Failf(model.CodeBadRequest, "%v", idError)
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return model.Failf(model.CodeBadRequest, "malformed JSON: %v", syntax)
+	}
+	return model.Failf(model.CodeInternal, "%v", err)
+}
+
+// httpFailure maps an error of echo to a failure.
+func httpFailure(err *echo.HTTPError) *model.Failure {
+	if err.Code == http.StatusRequestEntityTooLarge {
+		return model.Failf(model.CodeTooLarge, "the body is over the limit")
+	}
+	return model.Failf(model.CodeBadRequest, "%v", err.Message)
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,254 @@
+// Package message defines the messages between nodes. They are plain values;
+// package peer encodes them for gRPC. A node also sends messages to itself, and
+// then they never leave the reducer.
+package message
+
+import "github.com/hawthorntack/hawthorntack/internal/model"
+
+// Message is a message from one node to another.
+type Message interface{ isMessage() }
+
+// Dispatch asks a dispatcher to run one sub-request on one of its upstreams.
+type Dispatch struct {
+	Attempt  model.AttemptID
+	Upstream model.UpstreamID
+	Kind     Kind
+	// RequestID is the caller's, zero if it gave none.
+	RequestID model.RequestID
+	// Version and Shards pin a search; an order has neither.
+	Version model.Version
+	Shards  []model.ShardID
+	// Body is the query or order to pass on.
+	Body []byte
+	// TimeLeft is the remaining time to the deadline in nanoseconds when sent,
+	// so that the clocks of two hosts need not agree.
+	TimeLeft int64
+	// MaxQueueWait bounds the wait for a slot in nanoseconds.
+	MaxQueueWait int64
+	// User is the owner of the service, for fair queueing.
+	User        model.UserID
+	Fingerprint model.Fingerprint
+	// Isolate asks that nothing else runs on the upstream at the same time.
+	Isolate bool
+	// Hedge marks a speculative attempt: it is dropped rather than queued when
+	// no slot is free.
+	Hedge bool
+	// Repeatable is false for work that must run at most once.
+	Repeatable bool
+}
+
+// Kind is the kind of work a sub-request carries.
+type Kind uint8
+
+// The kinds of work.
+const (
+	KindSearch Kind = iota + 1
+	KindOrder
+)
+
+// Cancel takes back a sub-request: from the queue, or at the upstream.
+type Cancel struct {
+	Attempt model.AttemptID
+}
+
+// DispatchStatus is what became of a sub-request.
+type DispatchStatus uint8
+
+// The statuses of a dispatch. All but StatusAnswered, StatusFailed and
+// StatusLost mean that the upstream did not run the work.
+const (
+	// StatusAnswered carries the upstream's reply.
+	StatusAnswered DispatchStatus = iota + 1
+	// StatusRefused means that it was never written to the upstream, or that the
+	// upstream shed it and said so.
+	StatusRefused
+	// StatusVersionGone means that the upstream no longer holds the pinned
+	// version.
+	StatusVersionGone
+	// StatusFailed means that the upstream replied with an error after it had
+	// accepted the work.
+	StatusFailed
+	// StatusLost means that the connection ended after the work was written and
+	// before the reply.
+	StatusLost
+	// StatusTakenBack means that a cancelled sub-request was never written.
+	StatusTakenBack
+	// StatusNotOwner means that this node does not dispatch for the upstream.
+	StatusNotOwner
+)
+
+// NotRun reports whether the status proves that the work did not run.
+func (s DispatchStatus) NotRun() bool {
+	switch s {
+	case StatusRefused, StatusVersionGone, StatusTakenBack, StatusNotOwner:
+		return true
+	default:
+		return false
+	}
+}
+
+// DispatchResult tells the coordinator what became of a sub-request.
+type DispatchResult struct {
+	Attempt  model.AttemptID
+	Upstream model.UpstreamID
+	Status   DispatchStatus
+	// Reason tells why, for refusals and failures.
+	Reason model.Code
+	// Version is the snapshot that the rows come from.
+	Version model.Version
+	// Rows holds one row a shard of a search, or the single reply of an order.
+	Rows []model.Row
+	// Held lists the shards that the rows stand for, in the same order.
+	Held []model.ShardID
+	// RetryAfter is how long the upstream's queue needs, in nanoseconds.
+	RetryAfter int64
+	// FreeSlots and Queued describe the upstream's queue after this result.
+	FreeSlots int
+	Queued    int
+	// Crash marks a lost connection that looks like a crash of the upstream
+	// while this request ran.
+	Crash bool
+	// Alone marks that nothing else ran on the upstream with this request.
+	Alone bool
+}
+
+// IndexReport spreads what a dispatcher learned of an upstream.
+type IndexReport struct {
+	Report model.IndexReport
+}
+
+// OrderForward sends an order to its session's home node.
+type OrderForward struct {
+	// Call is the forwarding node's call, returned in OrderOutcome.
+	Call      model.CallID
+	RequestID model.RequestID
+	Service   model.ServiceName
+	Body      []byte
+	TimeLeft  int64
+	// Acknowledged is the highest sequence number whose outcome the caller has.
+	Acknowledged uint64
+}
+
+// OrderOutcome returns the outcome of a forwarded order.
+type OrderOutcome struct {
+	Call   model.CallID
+	Answer model.Answer
+}
+
+// KeptOutcome is a session's record of one order.
+type KeptOutcome struct {
+	RequestID model.RequestID
+	Service   model.ServiceName
+	// Started means that the order may have run.
+	Started bool
+	// Done means that Answer is final.
+	Done   bool
+	Answer model.Answer
+}
+
+// SessionHandover passes sealed sessions from a stopping home to a successor.
+type SessionHandover struct {
+	From        model.HostID
+	Incarnation model.Incarnation
+	// Part numbers the parts of a handover from one; Parts is their count.
+	Part  uint32
+	Parts uint32
+	// Sessions lists the open sessions in this part with their highest
+	// acknowledged sequence numbers.
+	Sessions []HandedSession
+	Outcomes []KeptOutcome
+}
+
+// HandedSession is one session of a handover.
+type HandedSession struct {
+	Session      model.SessionID
+	Acknowledged uint64
+	// HighestSeen is the highest sequence number that the old home accepted.
+	HighestSeen uint64
+	Expires     int64
+}
+
+// HandoverAck confirms one part of a handover.
+type HandoverAck struct {
+	Part uint32
+}
+
+// SessionMoved tells all nodes who answers for a stopped home's sessions.
+type SessionMoved struct {
+	From        model.HostID
+	Incarnation model.Incarnation
+	To          model.HostID
+}
+
+// Digest is a node's periodic description of itself and what it knows.
+type Digest struct {
+	Member model.Member
+	// Sequence grows with each digest of an incarnation.
+	Sequence uint64
+	// InForce lists what is known of other nodes' revisions.
+	InForce []InForce
+	// LatestRevision is the highest revision known to exist.
+	LatestRevision model.Revision
+	// Convictions is a hash of the node's convictions, to detect differences.
+	Convictions uint64
+}
+
+// InForce is the configuration revision in force on one host.
+type InForce struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+	Revision    model.Revision
+	// Age is how old the knowledge is, in nanoseconds.
+	Age int64
+}
+
+// LogPull asks a peer for log entries after a revision.
+type LogPull struct {
+	After model.Revision
+}
+
+// LogEntries carries contiguous log entries, or a snapshot when the log was
+// truncated.
+type LogEntries struct {
+	// Snapshot, when present, is the printed configuration at SnapshotRevision.
+	Snapshot         []byte
+	SnapshotRevision model.Revision
+	Entries          []model.LogEntry
+	// Latest is the sender's highest contiguous revision.
+	Latest model.Revision
+}
+
+// Suspicion tells all nodes of a crash that a request may have caused.
+type Suspicion struct {
+	Service     model.ServiceName
+	Fingerprint model.Fingerprint
+	Upstream    model.UpstreamID
+	// Attempt identifies the crash, so that it is counted once.
+	Attempt model.AttemptID
+	// Alone marks that nothing else ran on the upstream: a conviction.
+	Alone bool
+	// TimeLeft is how long the suspicion or conviction still holds, in
+	// nanoseconds.
+	TimeLeft int64
+}
+
+// Pardon lifts suspicions and convictions of a fingerprint.
+type Pardon struct {
+	Service     model.ServiceName
+	Fingerprint model.Fingerprint
+}
+
+func (Dispatch) isMessage()        {}
+func (Cancel) isMessage()          {}
+func (DispatchResult) isMessage()  {}
+func (IndexReport) isMessage()     {}
+func (OrderForward) isMessage()    {}
+func (OrderOutcome) isMessage()    {}
+func (SessionHandover) isMessage() {}
+func (HandoverAck) isMessage()     {}
+func (SessionMoved) isMessage()    {}
+func (Digest) isMessage()          {}
+func (LogPull) isMessage()         {}
+func (LogEntries) isMessage()      {}
+func (Suspicion) isMessage()       {}
+func (Pardon) isMessage()          {}
--- /dev/null
+++ b/internal/model/ids.go
@@ -0,0 +1,189 @@
+package model
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Instant is a point in time as nanoseconds since the Unix epoch. The runtime
+// derives it from the monotonic clock, so it never goes backwards in a process.
+type Instant int64
+
+// Add returns the instant d later.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Sub returns the duration from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
+
+// Before reports whether t is earlier than u.
+func (t Instant) Before(u Instant) bool { return t < u }
+
+// HostID names an entry host. One node runs on a host, so it also names the
+// node when joined with an Incarnation.
+type HostID string
+
+// Incarnation numbers the lives of the node on one host; a restart gets a
+// larger number.
+type Incarnation uint64
+
+// FailureDomain names a set of hosts that may fail together.
+type FailureDomain string
+
+// UserID names a user: the owner of services.
+type UserID string
+
+// ServiceName names a service.
+type ServiceName string
+
+// UpstreamID names an upstream as "service/upstream".
+type UpstreamID string
+
+// Service returns the service part of the identifier.
+func (id UpstreamID) Service() ServiceName {
+	service, _, _ := strings.Cut(string(id), "/")
+	return ServiceName(service)
+}
+
+// ShardID names a shard of one service within a partition map.
+type ShardID string
+
+// Version numbers a snapshot of the index. All services share one sequence of
+// versions; zero means "no version".
+type Version uint64
+
+// Revision numbers an accepted configuration change; zero is the empty
+// configuration.
+type Revision uint64
+
+// ChangeID identifies a proposed configuration change, so that a writer can
+// recognise its own entry after a lost reply.
+type ChangeID string
+
+// OperatorName names an operator of the administration API.
+type OperatorName string
+
+// CallID identifies a caller's or operator's open HTTP request within one
+// node's life. The runtime assigns it.
+type CallID uint64
+
+// OperationID identifies a call to the platform's key-value service within one
+// node's life. The reducer assigns it.
+type OperationID uint64
+
+// ConnectionID identifies a connection to an upstream within one node's life.
+// The reducer assigns it.
+type ConnectionID uint64
+
+// AttemptID identifies one sub-request to one upstream across all nodes.
+type AttemptID struct {
+	Host        HostID
+	Incarnation Incarnation
+	Number      uint64
+}
+
+// String returns the form that travels in the Attempt-Id header.
+func (id AttemptID) String() string {
+	return string(id.Host) + "-" + strconv.FormatUint(uint64(id.Incarnation), 36) + "-" + strconv.FormatUint(id.Number, 36)
+}
+
+// IsZero reports whether the identifier is unset.
+func (id AttemptID) IsZero() bool { return id == AttemptID{} }
+
+// SessionID names a caller's session and its home: the only node that may start
+// the session's orders.
+type SessionID struct {
+	Host        HostID
+	Incarnation Incarnation
+	Number      uint64
+}
+
+// String returns the textual form, "host-incarnation-number" with the numbers
+// in base 36.
+func (id SessionID) String() string { return AttemptID(id).String() }
+
+// IsZero reports whether the identifier is unset.
+func (id SessionID) IsZero() bool { return id == SessionID{} }
+
+// RequestID identifies a caller's request: the same on every resend.
+type RequestID struct {
+	Session  SessionID
+	Sequence uint64
+}
+
+// IsZero reports whether the identifier is unset.
+func (id RequestID) IsZero() bool { return id == RequestID{} }
+
+// String returns the form of the Request-Id header, "session.sequence".
+func (id RequestID) String() string {
+	if id.IsZero() {
+		return ""
+	}
+	return id.Session.String() + "." + strconv.FormatUint(id.Sequence, 10)
+}
+
+// maxIDLength bounds the textual form of a session or request identifier, in
+// bytes.
+const maxIDLength = 200
+
+// IDError reports a malformed session or request identifier.
+type IDError struct {
+	Text   string
+	Reason string
+}
+
+// Error implements error.
+func (e *IDError) Error() string {
+	return fmt.Sprintf("malformed identifier %.40q: %s", e.Text, e.Reason)
+}
+
+// ParseSessionID parses the textual form of a session; it returns *IDError.
+func ParseSessionID(text string) (SessionID, error) {
+	if len(text) > maxIDLength {
+		return SessionID{}, &IDError{Text: text, Reason: "too long"}
+	}
+	rest, number, ok := cutLast(text, '-')
+	if !ok {
+		return SessionID{}, &IDError{Text: text, Reason: "no session number"}
+	}
+	host, incarnation, ok := cutLast(rest, '-')
+	if !ok || host == "" {
+		return SessionID{}, &IDError{Text: text, Reason: "no host or incarnation"}
+	}
+	n, err := strconv.ParseUint(number, 36, 64)
+	if err != nil {
+		return SessionID{}, &IDError{Text: text, Reason: "session number is not in base 36"}
+	}
+	i, err := strconv.ParseUint(incarnation, 36, 64)
+	if err != nil {
+		return SessionID{}, &IDError{Text: text, Reason: "incarnation is not in base 36"}
+	}
+	return SessionID{Host: HostID(host), Incarnation: Incarnation(i), Number: n}, nil
+}
+
+// ParseRequestID parses the Request-Id header; it returns *IDError.
+func ParseRequestID(text string) (RequestID, error) {
+	session, sequence, ok := cutLast(text, '.')
+	if !ok {
+		return RequestID{}, &IDError{Text: text, Reason: "no sequence number"}
+	}
+	id, err := ParseSessionID(session)
+	if err != nil {
+		return RequestID{}, err
+	}
+	n, err := strconv.ParseUint(sequence, 10, 64)
+	if err != nil || n == 0 {
+		return RequestID{}, &IDError{Text: text, Reason: "sequence number is not a positive decimal"}
+	}
+	return RequestID{Session: id, Sequence: n}, nil
+}
+
+// cutLast splits text around the last occurrence of separator.
+func cutLast(text string, separator byte) (before, after string, found bool) {
+	i := strings.LastIndexByte(text, separator)
+	if i < 0 {
+		return text, "", false
+	}
+	return text[:i], text[i+1:], true
+}
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
+)
+
+// TestRoundTrip checks that every message comes back from the wire as it was.
+func TestRoundTrip(t *testing.T) {
+	t.Run("Dispatch", roundTrip[message.Dispatch])
+	t.Run("Cancel", roundTrip[message.Cancel])
+	t.Run("DispatchResult", roundTrip[message.DispatchResult])
+	t.Run("IndexReport", roundTrip[message.IndexReport])
+	t.Run("OrderForward", roundTrip[message.OrderForward])
+	t.Run("OrderOutcome", roundTrip[message.OrderOutcome])
+	t.Run("SessionHandover", roundTrip[message.SessionHandover])
+	t.Run("HandoverAck", roundTrip[message.HandoverAck])
+	t.Run("SessionMoved", roundTrip[message.SessionMoved])
+	t.Run("Digest", roundTrip[message.Digest])
+	t.Run("LogPull", roundTrip[message.LogPull])
+	t.Run("LogEntries", roundTrip[message.LogEntries])
+	t.Run("Suspicion", roundTrip[message.Suspicion])
+	t.Run("Pardon", roundTrip[message.Pardon])
+}
+
+func roundTrip[M message.Message](t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := rapid.Make[M]().Draw(t, "message")
+		frame := &peerpb.Frame{}
+		if err := encode(frame, sent); err != nil {
+			t.Fatal(err)
+		}
+		wire, err := proto.Marshal(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		received := &peerpb.Frame{}
+		if err := proto.Unmarshal(wire, received); err != nil {
+			t.Fatal(err)
+		}
+		got, err := decode(received)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !equalButNil(reflect.ValueOf(sent), reflect.ValueOf(got)) {
+			t.Fatalf("sent %#v, got %#v", sent, got)
+		}
+	})
+}
+
+// equalButNil compares two values and takes an empty slice for a nil one, which
+// the wire does not tell apart.
+func equalButNil(a, b reflect.Value) bool {
+	switch a.Kind() {
+	case reflect.Slice:
+		if a.Len() != b.Len() {
+			return false
+		}
+		for i := range a.Len() {
+			if !equalButNil(a.Index(i), b.Index(i)) {
+				return false
+			}
+		}
+		return true
+	case reflect.Struct:
+		for i := range a.NumField() {
+			if !equalButNil(a.Field(i), b.Field(i)) {
+				return false
+			}
+		}
+		return true
+	case reflect.Pointer:
+		if a.IsNil() || b.IsNil() {
+			return a.IsNil() == b.IsNil()
+		}
+		return equalButNil(a.Elem(), b.Elem())
+	default:
+		return reflect.DeepEqual(a.Interface(), b.Interface())
+	}
+}
--- /dev/null
+++ b/internal/peer/decode.go
@@ -0,0 +1,266 @@
+package peer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
+)
+
+// decode returns the message in a frame; it returns *MessageError for a frame of
+// a type that this build does not know.
+func decode(frame *peerpb.Frame) (message.Message, error) {
+	switch m := frame.GetMessage().(type) {
+	case *peerpb.Frame_Dispatch:
+		return decodeDispatch(m.Dispatch), nil
+	case *peerpb.Frame_Cancel:
+		return message.Cancel{Attempt: decodeAttempt(m.Cancel.GetAttempt())}, nil
+	case *peerpb.Frame_DispatchResult:
+		return decodeResult(m.DispatchResult), nil
+	case *peerpb.Frame_IndexReport:
+		return message.IndexReport{Report: decodeReport(m.IndexReport)}, nil
+	case *peerpb.Frame_OrderForward:
+		return decodeForward(m.OrderForward), nil
+	case *peerpb.Frame_OrderOutcome:
+		return message.OrderOutcome{
+			Call:   model.CallID(m.OrderOutcome.GetCall()),
+			Answer: decodeAnswer(m.OrderOutcome.GetAnswer()),
+		}, nil
+	case *peerpb.Frame_SessionHandover:
+		return decodeHandover(m.SessionHandover), nil
+	case *peerpb.Frame_HandoverAck:
+		return message.HandoverAck{Part: m.HandoverAck.GetPart()}, nil
+	case *peerpb.Frame_SessionMoved:
+		return message.SessionMoved{
+			From:        model.HostID(m.SessionMoved.GetFrom()),
+			Incarnation: model.Incarnation(m.SessionMoved.GetIncarnation()),
+			To:          model.HostID(m.SessionMoved.GetTo()),
+		}, nil
+	case *peerpb.Frame_Digest:
+		return decodeDigest(m.Digest), nil
+	case *peerpb.Frame_LogPull:
+		return message.LogPull{After: model.Revision(m.LogPull.GetAfter())}, nil
+	case *peerpb.Frame_LogEntries:
+		return decodeEntries(m.LogEntries), nil
+	case *peerpb.Frame_Suspicion:
+		return decodeSuspicion(m.Suspicion), nil
+	case *peerpb.Frame_Pardon:
+		return message.Pardon{
+			Service:     model.ServiceName(m.Pardon.GetService()),
+			Fingerprint: model.Fingerprint(m.Pardon.GetFingerprint()),
+		}, nil
+	default:
+		return nil, &MessageError{Type: fmt.Sprintf("%T", m)}
+	}
+}
+
+func decodeAttempt(id *peerpb.Identity) model.AttemptID {
+	return model.AttemptID{
+		Host: model.HostID(id.GetHost()), Incarnation: model.Incarnation(id.GetIncarnation()), Number: id.GetNumber(),
+	}
+}
+
+func decodeRequestID(id *peerpb.RequestID) model.RequestID {
+	return model.RequestID{Session: model.SessionID(decodeAttempt(id.GetSession())), Sequence: id.GetSequence()}
+}
+
+// decodeStrings turns plain strings into a slice of a string type.
+func decodeStrings[S ~string](values []string) []S {
+	if len(values) == 0 {
+		return nil
+	}
+	out := make([]S, len(values))
+	for i, v := range values {
+		out[i] = S(v)
+	}
+	return out
+}
+
+// decodeRows turns byte slices into rows without copying them.
+func decodeRows(rows [][]byte) []model.Row {
+	if len(rows) == 0 {
+		return nil
+	}
+	out := make([]model.Row, len(rows))
+	for i, row := range rows {
+		out[i] = row
+	}
+	return out
+}
+
+func decodeDispatch(m *peerpb.Dispatch) message.Dispatch {
+	return message.Dispatch{
+		Attempt:      decodeAttempt(m.GetAttempt()),
+		Upstream:     model.UpstreamID(m.GetUpstream()),
+		Kind:         message.Kind(m.GetKind()),
+		RequestID:    decodeRequestID(m.GetRequestId()),
+		Version:      model.Version(m.GetVersion()),
+		Shards:       decodeStrings[model.ShardID](m.GetShards()),
+		Body:         m.GetBody(),
+		TimeLeft:     m.GetTimeLeftNanos(),
+		MaxQueueWait: m.GetMaxQueueWaitNanos(),
+		User:         model.UserID(m.GetUser()),
+		Fingerprint:  model.Fingerprint(m.GetFingerprint()),
+		Isolate:      m.GetIsolate(),
+		Hedge:        m.GetHedge(),
+		Repeatable:   m.GetRepeatable(),
+	}
+}
+
+func decodeResult(m *peerpb.DispatchResult) message.DispatchResult {
+	return message.DispatchResult{
+		Attempt:    decodeAttempt(m.GetAttempt()),
+		Upstream:   model.UpstreamID(m.GetUpstream()),
+		Status:     message.DispatchStatus(m.GetStatus()),
+		Reason:     model.Code(m.GetReason()),
+		Version:    model.Version(m.GetVersion()),
+		Rows:       decodeRows(m.GetRows()),
+		Held:       decodeStrings[model.ShardID](m.GetHeld()),
+		RetryAfter: m.GetRetryAfterNanos(),
+		FreeSlots:  int(m.GetFreeSlots()),
+		Queued:     int(m.GetQueued()),
+		Crash:      m.GetCrash(),
+		Alone:      m.GetAlone(),
+	}
+}
+
+func decodeReport(r *peerpb.IndexReport) model.IndexReport {
+	out := model.IndexReport{
+		Upstream:  model.UpstreamID(r.GetUpstream()),
+		Observed:  model.Instant(r.GetObserved()),
+		Draining:  r.GetDraining(),
+		Reachable: r.GetReachable(),
+		FreeSlots: int(r.GetFreeSlots()),
+		Queued:    int(r.GetQueued()),
+		Limit:     int(r.GetLimit()),
+	}
+	for _, h := range r.GetHoldings() {
+		holding := model.Holding{
+			Version: model.Version(h.GetVersion()), Holds: decodeStrings[model.ShardID](h.GetHolds()),
+		}
+		for _, s := range h.GetShards() {
+			holding.Shards = append(holding.Shards, model.Shard{
+				ID: model.ShardID(s.GetId()), Low: s.GetLow(), High: s.GetHigh(),
+			})
+		}
+		out.Holdings = append(out.Holdings, holding)
+	}
+	return out
+}
+
+func decodeForward(m *peerpb.OrderForward) message.OrderForward {
+	return message.OrderForward{
+		Call:         model.CallID(m.GetCall()),
+		RequestID:    decodeRequestID(m.GetRequestId()),
+		Service:      model.ServiceName(m.GetService()),
+		Body:         m.GetBody(),
+		TimeLeft:     m.GetTimeLeftNanos(),
+		Acknowledged: m.GetAcknowledged(),
+	}
+}
+
+func decodeAnswer(a *peerpb.Answer) model.Answer {
+	out := model.Answer{
+		RequestID:  decodeRequestID(a.GetRequestId()),
+		Outcome:    model.Outcome(a.GetOutcome()),
+		Snapshot:   model.Version(a.GetSnapshot()),
+		Results:    decodeRows(a.GetResults()),
+		OrderReply: a.GetOrderReply(),
+		RetryAfter: time.Duration(a.GetRetryAfterNanos()),
+	}
+	if c := a.GetCoverage(); c != nil {
+		out.Coverage = &model.Coverage{
+			Searched: int(c.GetSearched()), Total: int(c.GetTotal()), Missing: c.GetMissing(),
+		}
+	}
+	if f := a.GetFailure(); f != nil {
+		out.Failure = &model.Failure{Code: model.Code(f.GetCode()), Message: f.GetMessage()}
+	}
+	return out
+}
+
+func decodeHandover(m *peerpb.SessionHandover) message.SessionHandover {
+	out := message.SessionHandover{
+		From:        model.HostID(m.GetFrom()),
+		Incarnation: model.Incarnation(m.GetIncarnation()),
+		Part:        m.GetPart(),
+		Parts:       m.GetParts(),
+	}
+	for _, s := range m.GetSessions() {
+		out.Sessions = append(out.Sessions, message.HandedSession{
+			Session:      model.SessionID(decodeAttempt(s.GetSession())),
+			Acknowledged: s.GetAcknowledged(),
+			HighestSeen:  s.GetHighestSeen(),
+			Expires:      s.GetExpires(),
+		})
+	}
+	for _, o := range m.GetOutcomes() {
+		out.Outcomes = append(out.Outcomes, message.KeptOutcome{
+			RequestID: decodeRequestID(o.GetRequestId()),
+			Service:   model.ServiceName(o.GetService()),
+			Started:   o.GetStarted(),
+			Done:      o.GetDone(),
+			Answer:    decodeAnswer(o.GetAnswer()),
+		})
+	}
+	return out
+}
+
+func decodeDigest(m *peerpb.Digest) message.Digest {
+	member := m.GetMember()
+	out := message.Digest{
+		Member: model.Member{
+			Host:          model.HostID(member.GetHost()),
+			Incarnation:   model.Incarnation(member.GetIncarnation()),
+			FailureDomain: model.FailureDomain(member.GetFailureDomain()),
+			CallerAddress: member.GetCallerAddress(),
+			PeerAddress:   member.GetPeerAddress(),
+			State:         model.MemberState(member.GetState()),
+			Revision:      model.Revision(member.GetRevision()),
+		},
+		Sequence:       m.GetSequence(),
+		LatestRevision: model.Revision(m.GetLatestRevision()),
+		Convictions:    m.GetConvictions(),
+	}
+	for _, f := range m.GetInForce() {
+		out.InForce = append(out.InForce, message.InForce{
+			Host:        model.HostID(f.GetHost()),
+			Incarnation: model.Incarnation(f.GetIncarnation()),
+			Revision:    model.Revision(f.GetRevision()),
+			Age:         f.GetAgeNanos(),
+		})
+	}
+	return out
+}
+
+func decodeEntries(m *peerpb.LogEntries) message.LogEntries {
+	out := message.LogEntries{
+		Snapshot:         m.GetSnapshot(),
+		SnapshotRevision: model.Revision(m.GetSnapshotRevision()),
+		Latest:           model.Revision(m.GetLatest()),
+	}
+	for _, e := range m.GetEntries() {
+		out.Entries = append(out.Entries, model.LogEntry{
+			Revision: model.Revision(e.GetRevision()),
+			Change:   model.ChangeID(e.GetChange()),
+			Operator: model.OperatorName(e.GetOperator()),
+			Base:     model.Revision(e.GetBase()),
+			Text:     e.GetText(),
+			Accepted: model.Instant(e.GetAccepted()),
+		})
+	}
+	return out
+}
+
+func decodeSuspicion(m *peerpb.Suspicion) message.Suspicion {
+	return message.Suspicion{
+		Service:     model.ServiceName(m.GetService()),
+		Fingerprint: model.Fingerprint(m.GetFingerprint()),
+		Upstream:    model.UpstreamID(m.GetUpstream()),
+		Attempt:     decodeAttempt(m.GetAttempt()),
+		Alone:       m.GetAlone(),
+		TimeLeft:    m.GetTimeLeftNanos(),
+	}
+}
--- /dev/null
+++ b/internal/peer/encode.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
+)
+
+// MessageError reports a message that the protocol does not know.
+type MessageError struct {
+	Type string
+}
+
+// Error implements error.
+func (e *MessageError) Error() string { return "unknown message type " + e.Type }
+
+// encode fills a frame with a message; it returns *MessageError for a type that
+// the protocol does not know.
+func encode(frame *peerpb.Frame, m message.Message) error {
+	switch m := m.(type) {
+	case message.Dispatch:
+		frame.Message = &peerpb.Frame_Dispatch{Dispatch: encodeDispatch(m)}
+	case message.Cancel:
+		frame.Message = &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Attempt: encodeAttempt(m.Attempt)}}
+	case message.DispatchResult:
+		frame.Message = &peerpb.Frame_DispatchResult{DispatchResult: encodeResult(m)}
+	case message.IndexReport:
+		frame.Message = &peerpb.Frame_IndexReport{IndexReport: encodeReport(m.Report)}
+	case message.OrderForward:
+		frame.Message = &peerpb.Frame_OrderForward{OrderForward: encodeForward(m)}
+	case message.OrderOutcome:
+		frame.Message = &peerpb.Frame_OrderOutcome{OrderOutcome: &peerpb.OrderOutcome{
+			Call: uint64(m.Call), Answer: encodeAnswer(m.Answer),
+		}}
+	case message.SessionHandover:
+		frame.Message = &peerpb.Frame_SessionHandover{SessionHandover: encodeHandover(m)}
+	case message.HandoverAck:
+		frame.Message = &peerpb.Frame_HandoverAck{HandoverAck: &peerpb.HandoverAck{Part: m.Part}}
+	case message.SessionMoved:
+		frame.Message = &peerpb.Frame_SessionMoved{SessionMoved: &peerpb.SessionMoved{
+			From: string(m.From), Incarnation: uint64(m.Incarnation), To: string(m.To),
+		}}
+	case message.Digest:
+		frame.Message = &peerpb.Frame_Digest{Digest: encodeDigest(m)}
+	case message.LogPull:
+		frame.Message = &peerpb.Frame_LogPull{LogPull: &peerpb.LogPull{After: uint64(m.After)}}
+	case message.LogEntries:
+		frame.Message = &peerpb.Frame_LogEntries{LogEntries: encodeEntries(m)}
+	case message.Suspicion:
+		frame.Message = &peerpb.Frame_Suspicion{Suspicion: encodeSuspicion(m)}
+	case message.Pardon:
+		frame.Message = &peerpb.Frame_Pardon{Pardon: &peerpb.Pardon{
+			Service: string(m.Service), Fingerprint: uint64(m.Fingerprint),
+		}}
+	default:
+		return &MessageError{Type: fmt.Sprintf("%T", m)}
+	}
+	return nil
+}
+
+func encodeAttempt(id model.AttemptID) *peerpb.Identity {
+	return &peerpb.Identity{Host: string(id.Host), Incarnation: uint64(id.Incarnation), Number: id.Number}
+}
+
+func encodeRequestID(id model.RequestID) *peerpb.RequestID {
+	if id.IsZero() {
+		return nil
+	}
+	return &peerpb.RequestID{Session: encodeAttempt(model.AttemptID(id.Session)), Sequence: id.Sequence}
+}
+
+// encodeStrings turns a slice of a string type into plain strings.
+func encodeStrings[S ~string](values []S) []string {
+	if len(values) == 0 {
+		return nil
+	}
+	out := make([]string, len(values))
+	for i, v := range values {
+		out[i] = string(v)
+	}
+	return out
+}
+
+// encodeRows turns rows into byte slices without copying them.
+func encodeRows(rows []model.Row) [][]byte {
+	if len(rows) == 0 {
+		return nil
+	}
+	out := make([][]byte, len(rows))
+	for i, row := range rows {
+		out[i] = row
+	}
+	return out
+}
+
+func encodeDispatch(m message.Dispatch) *peerpb.Dispatch {
+	return &peerpb.Dispatch{
+		Attempt:           encodeAttempt(m.Attempt),
+		Upstream:          string(m.Upstream),
+		Kind:              uint32(m.Kind),
+		RequestId:         encodeRequestID(m.RequestID),
+		Version:           uint64(m.Version),
+		Shards:            encodeStrings(m.Shards),
+		Body:              m.Body,
+		TimeLeftNanos:     m.TimeLeft,
+		MaxQueueWaitNanos: m.MaxQueueWait,
+		User:              string(m.User),
+		Fingerprint:       uint64(m.Fingerprint),
+		Isolate:           m.Isolate,
+		Hedge:             m.Hedge,
+		Repeatable:        m.Repeatable,
+	}
+}
+
+func encodeResult(m message.DispatchResult) *peerpb.DispatchResult {
+	return &peerpb.DispatchResult{
+		Attempt:         encodeAttempt(m.Attempt),
+		Upstream:        string(m.Upstream),
+		Status:          uint32(m.Status),
+		Reason:          string(m.Reason),
+		Version:         uint64(m.Version),
+		Rows:            encodeRows(m.Rows),
+		Held:            encodeStrings(m.Held),
+		RetryAfterNanos: m.RetryAfter,
+		FreeSlots:       int64(m.FreeSlots),
+		Queued:          int64(m.Queued),
+		Crash:           m.Crash,
+		Alone:           m.Alone,
+	}
+}
+
+func encodeReport(r model.IndexReport) *peerpb.IndexReport {
+	holdings := make([]*peerpb.Holding, 0, len(r.Holdings))
+	for _, h := range r.Holdings {
+		shards := make([]*peerpb.Shard, 0, len(h.Shards))
+		for _, s := range h.Shards {
+			shards = append(shards, &peerpb.Shard{Id: string(s.ID), Low: s.Low, High: s.High})
+		}
+		holdings = append(holdings, &peerpb.Holding{
+			Version: uint64(h.Version), Shards: shards, Holds: encodeStrings(h.Holds),
+		})
+	}
+	return &peerpb.IndexReport{
+		Upstream:  string(r.Upstream),
+		Observed:  int64(r.Observed),
+		Holdings:  holdings,
+		Draining:  r.Draining,
+		Reachable: r.Reachable,
+		FreeSlots: int64(r.FreeSlots),
+		Queued:    int64(r.Queued),
+		Limit:     int64(r.Limit),
+	}
+}
+
+func encodeForward(m message.OrderForward) *peerpb.OrderForward {
+	return &peerpb.OrderForward{
+		Call:          uint64(m.Call),
+		RequestId:     encodeRequestID(m.RequestID),
+		Service:       string(m.Service),
+		Body:          m.Body,
+		TimeLeftNanos: m.TimeLeft,
+		Acknowledged:  m.Acknowledged,
+	}
+}
+
+func encodeAnswer(a model.Answer) *peerpb.Answer {
+	out := &peerpb.Answer{
+		RequestId:       encodeRequestID(a.RequestID),
+		Outcome:         string(a.Outcome),
+		Snapshot:        uint64(a.Snapshot),
+		Results:         encodeRows(a.Results),
+		OrderReply:      a.OrderReply,
+		RetryAfterNanos: int64(a.RetryAfter),
+	}
+	if a.Coverage != nil {
+		out.Coverage = &peerpb.Coverage{
+			Searched: int64(a.Coverage.Searched), Total: int64(a.Coverage.Total), Missing: a.Coverage.Missing,
+		}
+	}
+	if a.Failure != nil {
+		out.Failure = &peerpb.Failure{Code: string(a.Failure.Code), Message: a.Failure.Message}
+	}
+	return out
+}
+
+func encodeHandover(m message.SessionHandover) *peerpb.SessionHandover {
+	out := &peerpb.SessionHandover{
+		From: string(m.From), Incarnation: uint64(m.Incarnation), Part: m.Part, Parts: m.Parts,
+	}
+	for _, s := range m.Sessions {
+		out.Sessions = append(out.Sessions, &peerpb.HandedSession{
+			Session:      encodeAttempt(model.AttemptID(s.Session)),
+			Acknowledged: s.Acknowledged,
+			HighestSeen:  s.HighestSeen,
+			Expires:      s.Expires,
+		})
+	}
+	for _, o := range m.Outcomes {
+		out.Outcomes = append(out.Outcomes, &peerpb.KeptOutcome{
+			RequestId: encodeRequestID(o.RequestID),
+			Service:   string(o.Service),
+			Started:   o.Started,
+			Done:      o.Done,
+			Answer:    encodeAnswer(o.Answer),
+		})
+	}
+	return out
+}
+
+func encodeDigest(m message.Digest) *peerpb.Digest {
+	out := &peerpb.Digest{
+		Member: &peerpb.Member{
+			Host:          string(m.Member.Host),
+			Incarnation:   uint64(m.Member.Incarnation),
+			FailureDomain: string(m.Member.FailureDomain),
+			CallerAddress: m.Member.CallerAddress,
+			PeerAddress:   m.Member.PeerAddress,
+			State:         string(m.Member.State),
+			Revision:      uint64(m.Member.Revision),
+		},
+		Sequence:       m.Sequence,
+		LatestRevision: uint64(m.LatestRevision),
+		Convictions:    m.Convictions,
+	}
+	for _, f := range m.InForce {
+		out.InForce = append(out.InForce, &peerpb.InForce{
+			Host: string(f.Host), Incarnation: uint64(f.Incarnation), Revision: uint64(f.Revision), AgeNanos: f.Age,
+		})
+	}
+	return out
+}
+
+func encodeEntries(m message.LogEntries) *peerpb.LogEntries {
+	out := &peerpb.LogEntries{
+		Snapshot: m.Snapshot, SnapshotRevision: uint64(m.SnapshotRevision), Latest: uint64(m.Latest),
+	}
+	for _, e := range m.Entries {
+		out.Entries = append(out.Entries, &peerpb.LogEntry{
+			Revision: uint64(e.Revision),
+			Change:   string(e.Change),
+			Operator: string(e.Operator),
+			Base:     uint64(e.Base),
+			Text:     e.Text,
+			Accepted: int64(e.Accepted),
+		})
+	}
+	return out
+}
+
+func encodeSuspicion(m message.Suspicion) *peerpb.Suspicion {
+	return &peerpb.Suspicion{
+		Service:       string(m.Service),
+		Fingerprint:   uint64(m.Fingerprint),
+		Upstream:      string(m.Upstream),
+		Attempt:       encodeAttempt(m.Attempt),
+		Alone:         m.Alone,
+		TimeLeftNanos: m.TimeLeft,
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"fmt"
+	"net"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
+)
+
+// Server takes in the streams of peers.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	self     model.HostID
+	listener Listener
+	grpc     *grpc.Server
+}
+
+// NewServer returns a server that delivers to the listener.
+func NewServer(self model.HostID, creds credentials.TransportCredentials, listener Listener) *Server {
+	s := &Server{self: self, listener: listener}
+	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxFrameBytes))
+	peerpb.RegisterPeerServer(s.grpc, s)
+	return s
+}
+
+// Serve takes streams from a listener until Stop.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.grpc.Serve(l); err != nil {
+		return fmt.Errorf("serve peers on %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// Stop ends all streams.
+func (s *Server) Stop() { s.grpc.Stop() }
+
+// Exchange delivers the frames of one stream. A frame for another host ends the
+// stream: the address was reused.
+func (s *Server) Exchange(in grpc.ClientStreamingServer[peerpb.Frame, peerpb.Closed]) error {
+	var from model.HostID
+	var last uint64
+	for {
+		frame, err := in.Recv()
+		if err != nil {
+			if from != "" {
+				s.listener.PeerLost(from)
+			}
+			return fmt.Errorf("stream from %q: %w", from, err)
+		}
+		if model.HostID(frame.GetTo()) != s.self {
+			return status.Errorf(codes.FailedPrecondition, "this is %s, not %s", s.self, frame.GetTo())
+		}
+		if frame.GetSequence() <= last {
+			continue
+		}
+		last = frame.GetSequence()
+		from = model.HostID(frame.GetFrom())
+		m, err := decode(frame)
+		if err != nil {
+			// A newer build may send types that this one does not know.
+			continue
+		}
+		s.listener.PeerMessage(from, model.Incarnation(frame.GetIncarnation()), m)
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,21 @@
+// Package platform reaches what the platform gives: the key-value service that
+// holds the configuration, and the list of hosts.
+package platform
+
+import (
+	"context"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+)
+
+// Store is the platform's key-value service. A call whose reply is lost returns
+// event.StoreUnknown: its write may have taken effect, or may still.
+type Store interface {
+	Call(ctx context.Context, call effect.CallStore) event.StoreResult
+}
+
+// HostLister reads the platform's lagging list of live and leaving hosts.
+type HostLister interface {
+	Hosts(ctx context.Context) event.HostList
+}
--- /dev/null
+++ b/internal/reducer/dump.go
@@ -0,0 +1,36 @@
+package reducer
+
+import (
+	"encoding/json"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// Dump is the state dump: what the node believes, taken between two events.
+type Dump struct {
+	Self     model.Member   `json:"self"`
+	State    string         `json:"state"`
+	Members  []model.Member `json:"members"`
+	Revision model.Revision `json:"revision"`
+	Config   *model.Config  `json:"config"`
+	Timers   int            `json:"timers"`
+	InFlight int            `json:"in_flight"`
+}
+
+// dump encodes the state as JSON.
+func (s *State) dump(ctx *step.Context) []byte {
+	encoded, err := json.Marshal(Dump{
+		Self:     s.membership.Self(),
+		State:    string(s.lifecycle.state),
+		Members:  s.membership.Members(),
+		Revision: ctx.Config.Revision,
+		Config:   ctx.Config,
+		Timers:   s.timers.Len(),
+		InFlight: s.openRequests(),
+	})
+	if err != nil {
+		return []byte(`{"error":"the state could not be encoded"}`)
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/reducer/lifecycle.go
@@ -0,0 +1,103 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
+)
+
+// lifecyclePeriod is the time between two looks at the node's own progress.
+const lifecyclePeriod = 100 * time.Millisecond
+
+// lifecycle is where the node stands between start and exit.
+type lifecycle struct {
+	state model.MemberState
+	// stopped is when the stop was requested; zero before.
+	stopped model.Instant
+	// sealed is true once the sessions are being handed over.
+	sealed bool
+}
+
+// startLifecycle begins the node's life as not ready.
+func (s *State) startLifecycle(ctx *step.Context) {
+	s.lifecycle.state = model.Starting
+	ctx.After(lifecyclePeriod, timer.Lifecycle, 0)
+}
+
+// handleLifecycleTimer moves the node from starting to serving, and from leaving
+// to its exit.
+func (s *State) handleLifecycleTimer(ctx *step.Context) {
+	switch s.lifecycle.state {
+	case model.Starting:
+		s.serveWhenReady(ctx)
+	case model.Leaving:
+		s.stepLeaving(ctx)
+	}
+	ctx.After(lifecyclePeriod, timer.Lifecycle, 0)
+}
+
+// serveWhenReady starts to serve once the node has a configuration.
+func (s *State) serveWhenReady(ctx *step.Context) {
+	if !s.config.Ready() {
+		return
+	}
+	s.lifecycle.state = model.Serving
+	s.membership.SetState(ctx, model.Serving)
+	ctx.Log(effect.Info, "lifecycle", "serving")
+}
+
+// stepStop starts the graceful stop, or ends it at once when asked again.
+func (s *State) stepStop(ctx *step.Context) {
+	if s.lifecycle.state == model.Leaving {
+		s.exit(ctx)
+		return
+	}
+	s.lifecycle.state = model.Leaving
+	s.lifecycle.stopped = ctx.Now
+	s.membership.SetState(ctx, model.Leaving)
+	ctx.Log(effect.Info, "lifecycle", "leaving")
+}
+
+// stepLeaving seals the sessions once no caller holds a valid entry answer, and
+// exits when nothing is in flight.
+func (s *State) stepLeaving(ctx *step.Context) {
+	elapsed := ctx.Now.Sub(s.lifecycle.stopped)
+	if elapsed >= s.settings.StopGrace {
+		s.exit(ctx)
+		return
+	}
+	if elapsed < s.settings.Entry.TTL {
+		return
+	}
+	if !s.lifecycle.sealed {
+		s.lifecycle.sealed = true
+		s.session.Seal(ctx)
+	}
+	if s.openRequests() == 0 && s.session.HandedOver() {
+		s.exit(ctx)
+	}
+}
+
+// openRequests counts what an exit would cut.
+func (s *State) openRequests() int {
+	return s.query.InFlight() + s.session.InFlight() + s.dispatch.InFlight()
+}
+
+// exit ends the process.
+func (s *State) exit(ctx *step.Context) {
+	ctx.Emit(effect.Exit{Cut: s.openRequests()})
+}
+
+// noticePause resynchronises after a gap in the node's own clock: what it
+// believed before the pause may be long out of date.
+func (s *State) noticePause(ctx *step.Context) {
+	if ctx.Now.Sub(s.last) < s.settings.PauseThreshold {
+		return
+	}
+	ctx.Log(effect.Warning, "lifecycle", "clock gap: resynchronising",
+		effect.Field{Name: "gap", Value: ctx.Now.Sub(s.last).String()})
+	s.config.HandleResume(ctx)
+}
--- /dev/null
+++ b/internal/reducer/state.go
@@ -0,0 +1,187 @@
+package reducer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/entry"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/membership"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
+)
+
+// Settings are the node's own settings: what it is and how its parts behave.
+type Settings struct {
+	// Self describes the node; its State is ignored.
+	Self       model.Member
+	Entry      entry.Settings
+	Membership membership.Settings
+	// PauseThreshold is the gap in the node's own clock that counts as a pause
+	// of the process.
+	PauseThreshold time.Duration
+	// StopGrace bounds a graceful stop.
+	StopGrace time.Duration
+}
+
+// Default settings.
+const (
+	DefaultPauseThreshold = 1 * time.Second
+	DefaultStopGrace      = 30 * time.Second
+)
+
+// DefaultSettings returns the settings of a node that only knows itself.
+func DefaultSettings(self model.Member) Settings {
+	return Settings{
+		Self: self,
+		Entry: entry.Settings{
+			SubsetSize:  entry.DefaultSubsetSize,
+			Dispatchers: entry.DefaultDispatchers,
+			TTL:         entry.DefaultTTL,
+		},
+		Membership: membership.Settings{
+			DigestInterval:   membership.DefaultDigestInterval,
+			SuspectAfter:     membership.DefaultSuspectAfter,
+			FailAfter:        membership.DefaultFailAfter,
+			HostListInterval: membership.DefaultHostListInterval,
+		},
+		PauseThreshold: DefaultPauseThreshold,
+		StopGrace:      DefaultStopGrace,
+	}
+}
+
+// State is a node's whole state. It is not safe for concurrent use.
+type State struct {
+	settings   Settings
+	timers     timer.Queue
+	membership *membership.State
+	config     *config.State
+	catalog    *snapshot.Catalog
+	admission  *admission.State
+	quarantine *quarantine.State
+	entry      *entry.State
+	dispatch   *dispatch.State
+	query      *query.State
+	session    *session.State
+	lifecycle  lifecycle
+	// last is the time of the last event.
+	last model.Instant
+}
+
+// New returns the state of a node that has just started.
+func New(settings Settings) *State {
+	s := &State{
+		settings:   settings,
+		membership: membership.New(settings.Membership, settings.Self),
+		config:     config.New(),
+		catalog:    snapshot.NewCatalog(),
+		admission:  admission.New(),
+		quarantine: quarantine.New(),
+		entry:      entry.New(settings.Entry),
+	}
+	s.dispatch = dispatch.New(s.entry)
+	s.query = query.New(query.Parts{
+		Catalog:    s.catalog,
+		Placement:  s.entry,
+		Admission:  s.admission,
+		Quarantine: s.quarantine,
+	})
+	s.session = session.New(s.query)
+	s.query.SetSink(s.session)
+	return s
+}
+
+// Start returns the first effects of the node.
+func (s *State) Start(now model.Instant, random uint64) []effect.Effect {
+	s.last = now
+	ctx := s.context(now, random)
+	s.membership.Start(ctx)
+	s.config.Start(ctx)
+	s.startLifecycle(ctx)
+	return s.deliverOwn(ctx)
+}
+
+// NextWake returns when the next event.Wake is due, and false if no timer is
+// set.
+func (s *State) NextWake() (model.Instant, bool) { return s.timers.Next() }
+
+// Reduce applies one event and returns what the runtime is to do.
+func (s *State) Reduce(envelope event.Envelope) []effect.Effect {
+	ctx := s.context(envelope.Now, envelope.Random)
+	s.noticePause(ctx)
+	s.last = envelope.Now
+	s.stepEvent(ctx, envelope.Event)
+	return s.deliverOwn(ctx)
+}
+
+// context returns the surroundings of one step.
+func (s *State) context(now model.Instant, random uint64) *step.Context {
+	return &step.Context{
+		Now:    now,
+		Random: rand.New(rand.NewPCG(random, uint64(now))),
+		Self:   s.membership.Self(),
+		Config: s.config.InForce(),
+		View:   s.membership,
+		Timers: &s.timers,
+	}
+}
+
+// deliverOwn delivers the messages that the node sent to itself and returns the
+// remaining effects.
+func (s *State) deliverOwn(ctx *step.Context) []effect.Effect {
+	self := s.settings.Self.Host
+	var out []effect.Effect
+	for i := 0; i < len(ctx.Effects); i++ {
+		send, ok := ctx.Effects[i].(effect.SendPeer)
+		if !ok || send.To != self {
+			out = append(out, ctx.Effects[i])
+			continue
+		}
+		s.stepMessage(ctx, self, s.settings.Self.Incarnation, send.Message)
+	}
+	return out
+}
+
+// stepMessage routes a message to the part that owns it.
+func (s *State) stepMessage(ctx *step.Context, from model.HostID, incarnation model.Incarnation, m message.Message) {
+	switch m := m.(type) {
+	case message.Dispatch:
+		s.dispatch.HandleDispatch(ctx, from, m)
+	case message.Cancel:
+		s.dispatch.HandleCancel(ctx, from, m)
+	case message.DispatchResult:
+		s.query.HandleResult(ctx, from, m)
+	case message.IndexReport:
+		s.catalog.HandleReport(ctx, m.Report)
+	case message.OrderForward:
+		s.session.HandleForward(ctx, from, m)
+	case message.OrderOutcome:
+		s.session.HandleOutcome(ctx, from, m)
+	case message.SessionHandover:
+		s.session.HandleHandover(ctx, from, m)
+	case message.HandoverAck:
+		s.session.HandleHandoverAck(ctx, from, m)
+	case message.SessionMoved:
+		s.session.HandleMoved(ctx, m)
+	case message.Digest:
+		s.stepDigest(ctx, from, m)
+	case message.LogPull:
+		s.config.HandlePull(ctx, from, m)
+	case message.LogEntries:
+		s.configChanged(ctx, s.config.HandleEntries(ctx, from, m))
+	case message.Suspicion:
+		s.quarantine.HandleSuspicion(ctx, m)
+	case message.Pardon:
+		s.quarantine.HandlePardon(ctx, m)
+	}
+}
--- /dev/null
+++ b/internal/reducer/step.go
@@ -0,0 +1,165 @@
+package reducer
+
+import (
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
+	"github.com/hawthorntack/hawthorntack/internal/statement"
+)
+
+// stepEvent routes an event to the part that owns it.
+func (s *State) stepEvent(ctx *step.Context, e event.Event) {
+	switch e := e.(type) {
+	case event.Wake:
+		s.stepWake(ctx)
+	case event.Entry:
+		s.entry.HandleEntry(ctx, e)
+	case event.Search:
+		s.stepSearch(ctx, e)
+	case event.Order:
+		s.session.HandleOrder(ctx, e)
+	case event.CallerGone:
+		s.query.HandleCallerGone(ctx, e.Call)
+		s.session.HandleCallerGone(ctx, e.Call)
+	case event.PeerMessage:
+		s.stepMessage(ctx, e.From, e.Incarnation, e.Message)
+	case event.PeerLost:
+		s.stepPeerLost(ctx, e.Host)
+	case event.Statement:
+		s.stepStatement(ctx, e)
+	case event.DumpRequest:
+		s.stepDump(ctx, e)
+	case event.StopRequested:
+		s.stepStop(ctx)
+	default:
+		s.stepUpstream(ctx, e)
+		s.stepPlatform(ctx, e)
+	}
+}
+
+// stepUpstream routes what upstreams send to the dispatcher.
+func (s *State) stepUpstream(ctx *step.Context, e event.Event) {
+	switch e := e.(type) {
+	case event.ConnectionOpened:
+		s.dispatch.HandleOpened(ctx, e)
+	case event.ConnectionClosed:
+		s.dispatch.HandleClosed(ctx, e)
+	case event.UpstreamReply:
+		s.dispatch.HandleReply(ctx, e)
+	case event.UpstreamStatusRead:
+		s.dispatch.HandleStatus(ctx, e)
+	case event.UpstreamCancelDone:
+		s.dispatch.HandleCancelDone(ctx, e)
+	}
+}
+
+// stepPlatform routes what the platform sends.
+func (s *State) stepPlatform(ctx *step.Context, e event.Event) {
+	switch e := e.(type) {
+	case event.HostList:
+		s.viewChanged(ctx, s.membership.HandleHostList(ctx, e))
+		s.dispatch.HandleLeaving(ctx, e.DrainingUpstreams)
+	case event.StoreResult:
+		s.configChanged(ctx, s.config.HandleStoreResult(ctx, e))
+	}
+}
+
+// stepWake fires the timers that are due.
+func (s *State) stepWake(ctx *step.Context) {
+	for {
+		due, ok := s.timers.PopDue(ctx.Now)
+		if !ok {
+			return
+		}
+		s.stepTimer(ctx, due)
+	}
+}
+
+// stepTimer routes a timer to its owner.
+func (s *State) stepTimer(ctx *step.Context, due timer.Timer) {
+	switch due.Owner {
+	case timer.Query:
+		s.query.HandleTimer(ctx, due.ID)
+	case timer.Dispatch:
+		s.dispatch.HandleTimer(ctx, due.ID)
+	case timer.Session:
+		s.session.HandleTimer(ctx, due.ID)
+	case timer.Quarantine:
+		s.quarantine.HandleTimer(ctx, due.ID)
+	case timer.Config:
+		s.configChanged(ctx, s.config.HandleTimer(ctx, due.ID))
+	case timer.Membership:
+		s.viewChanged(ctx, s.membership.HandleTimer(ctx, due.ID))
+	case timer.Lifecycle:
+		s.handleLifecycleTimer(ctx)
+	}
+}
+
+// stepPeerLost settles what was under way with a peer.
+func (s *State) stepPeerLost(ctx *step.Context, host model.HostID) {
+	s.viewChanged(ctx, s.membership.HandlePeerLost(ctx, host))
+	s.query.HandlePeerLost(ctx, host)
+	s.session.HandlePeerLost(ctx, host)
+	s.dispatch.HandlePeerLost(ctx, host)
+}
+
+// stepDigest takes in a peer's digest.
+func (s *State) stepDigest(ctx *step.Context, from model.HostID, m message.Digest) {
+	changed := s.membership.HandleDigest(ctx, from, m)
+	s.config.HandleDigest(ctx, from, m)
+	s.viewChanged(ctx, changed)
+}
+
+// viewChanged lets the parts follow another view of the members.
+func (s *State) viewChanged(ctx *step.Context, changed bool) {
+	if !changed {
+		return
+	}
+	ctx.Self = s.membership.Self()
+	s.dispatch.HandleConfig(ctx)
+}
+
+// configChanged lets the parts follow another configuration.
+func (s *State) configChanged(ctx *step.Context, changed bool) {
+	if !changed {
+		return
+	}
+	ctx.Config = s.config.InForce()
+	s.membership.SetRevision(ctx.Config.Revision)
+	ctx.Self = s.membership.Self()
+	s.quarantine.HandleConfig(ctx)
+	s.dispatch.HandleConfig(ctx)
+}
+
+// stepSearch starts a search unless the node is not ready for it.
+func (s *State) stepSearch(ctx *step.Context, e event.Search) {
+	s.query.HandleSearch(ctx, e)
+}
+
+// stepStatement answers a question or proposes a change.
+func (s *State) stepStatement(ctx *step.Context, e event.Statement) {
+	script, failure := statement.Parse(e.Text)
+	if failure != nil {
+		result := effect.StatementResult{Outcome: effect.NotAccepted, Failure: failure}
+		ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: result})
+		return
+	}
+	if len(script.Questions) > 0 {
+		s.answerQuestions(ctx, e, script.Questions)
+		return
+	}
+	s.config.HandleStatement(ctx, e, script)
+}
+
+// answerQuestions answers an operator's questions from the node's own state.
+func (s *State) answerQuestions(ctx *step.Context, e event.Statement, questions []statement.Question) {
+	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{Outcome: effect.Shown}})
+}
+
+// stepDump returns the state as JSON.
+func (s *State) stepDump(ctx *step.Context, e event.DumpRequest) {
+	ctx.Emit(effect.ReplyDump{Call: e.Call, JSON: s.dump(ctx)})
+}
