--- /dev/null
+++ b/cmd/hawthorntack/ctl_client.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/base32"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/api"
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/statement"
+)
+
+// maxReply bounds a reply of the administration API, in bytes.
+const maxReply = 64 << 20
+
+// ctlClient calls the administration API of one node.
+type ctlClient struct {
+	base          url.URL
+	authorization string
+	http          *http.Client
+}
+
+// client returns a client for the command's settings.
+func (c *ctlCommand) client() (*ctlClient, error) {
+	if !strings.Contains(c.Admin, ":") {
+		return nil, &UsageError{Setting: "--admin", Reason: "must be HOST:PORT"}
+	}
+	client := &ctlClient{base: url.URL{Scheme: "http", Host: c.Admin}, http: &http.Client{}}
+	if (c.Operator == "") != (c.KeyFile == "") {
+		return nil, &UsageError{Setting: "--operator", Reason: "must be used together with --key-file"}
+	}
+	if c.Operator != "" {
+		key, err := readFile(c.KeyFile)
+		if err != nil {
+			return nil, err
+		}
+		client.authorization = "Bearer " + c.Operator + ":" + strings.TrimSpace(key)
+	}
+	return client, nil
+}
+
+// run runs a text. A change whose reply does not come is unknown, not failed.
+func (c *ctlClient) run(ctx context.Context, text string, dryRun bool, change model.ChangeID) (api.StatementReply, error) {
+	changes := isChange(text)
+	if changes && change == "" && !dryRun {
+		change = newChangeID(time.Now())
+	}
+	body, err := json.Marshal(api.StatementBody{Text: text, DryRun: dryRun, Change: change})
+	if err != nil {
+		return api.StatementReply{}, fmt.Errorf("encode the statements: %w", err)
+	}
+	reply, sent, err := c.post(ctx, body)
+	if err != nil && sent && changes && !dryRun {
+		failure := model.Failf(model.CodeUnavailable, "%v", err)
+		return api.StatementReply{Outcome: effect.ChangeUnknown, Change: change, Error: failure}, nil
+	}
+	return reply, err
+}
+
+// post sends a body and decodes the reply. It reports whether the node may have
+// got the body.
+func (c *ctlClient) post(ctx context.Context, body []byte) (reply api.StatementReply, sent bool, err error) {
+	target := c.base.JoinPath("/v1/admin/statements")
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return reply, false, fmt.Errorf("call %s: %w", c.base.Host, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.authorization != "" {
+		request.Header.Set("Authorization", c.authorization)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply, !isDialError(err), fmt.Errorf("call %s: %w", c.base.Host, err)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return reply, true, fmt.Errorf("read the reply of %s: %w", c.base.Host, err)
+	}
+	if err := json.Unmarshal(raw, &reply); err != nil {
+		return reply, true, fmt.Errorf("reply %d of %s: %w", response.StatusCode, c.base.Host, err)
+	}
+	if reply.Error != nil && reply.Outcome == effect.StatementOutcome(model.NotRun) {
+		reply.Outcome = effect.NotAccepted
+	}
+	return reply, true, nil
+}
+
+// isDialError reports whether no connection was made, so that nothing was sent.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// isChange reports whether a text changes the configuration. One that cannot be
+// read here may be readable to a newer node, so it counts as a change.
+func isChange(text string) bool {
+	script, failure := statement.Parse(text)
+	return failure != nil || len(script.Changes) > 0
+}
+
+// changeIDEntropy is the number of random bytes in a change identifier.
+const changeIDEntropy = 10
+
+// newChangeID returns an identifier that sorts by time and is unique by chance.
+func newChangeID(now time.Time) model.ChangeID {
+	var raw [6 + changeIDEntropy]byte
+	var milliseconds [8]byte
+	binary.BigEndian.PutUint64(milliseconds[:], uint64(now.UnixMilli()))
+	copy(raw[:6], milliseconds[2:])
+	_, _ = rand.Read(raw[6:])
+	return model.ChangeID(base32.HexEncoding.WithPadding(base32.NoPadding).EncodeToString(raw[:]))
+}
--- /dev/null
+++ b/cmd/hawthorntack/ctl_prompt.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/peterh/liner"
+)
+
+// prompt reads statements from a person until the input ends. A statement ends
+// at a semicolon or an empty line. History is kept for the session only: hosts
+// keep nothing.
+func (c *ctlCommand) prompt(client *ctlClient) error {
+	editor := liner.NewLiner()
+	defer editor.Close()
+	editor.SetCtrlCAborts(true)
+	var lines []string
+	for {
+		typed, err := editor.Prompt(promptText(lines))
+		switch {
+		case errors.Is(err, liner.ErrPromptAborted):
+			lines = nil
+			continue
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return fmt.Errorf("read the prompt: %w", err)
+		}
+		lines = append(lines, typed)
+		if !isComplete(typed, lines) {
+			continue
+		}
+		c.runTyped(client, editor, strings.Join(lines, "\n"))
+		lines = nil
+	}
+}
+
+// promptText shows whether a statement has been begun.
+func promptText(lines []string) string {
+	if len(lines) > 0 {
+		return "    ...> "
+	}
+	return "hawthorntack> "
+}
+
+// isComplete reports whether the typed lines are to be run.
+func isComplete(typed string, lines []string) bool {
+	trimmed := strings.TrimSpace(typed)
+	return strings.HasSuffix(trimmed, ";") || trimmed == "" && len(lines) > 0
+}
+
+// runTyped runs what was typed and prints a failure, after which the prompt goes
+// on.
+func (c *ctlCommand) runTyped(client *ctlClient, editor *liner.State, text string) {
+	if strings.Trim(text, " \t\n;") == "" {
+		return
+	}
+	editor.AppendHistory(strings.Join(strings.Fields(text), " "))
+	if err := c.runText(client, text); err != nil {
+		fmt.Fprintln(c.std.err, err)
+	}
+}
--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -35,11 +35,11 @@
 	e.GET("/readyz", h.ready)
 }
 
-// statementBody is the body of a statement.
-type statementBody struct {
+// StatementBody is the body of a statement.
+type StatementBody struct {
 	Text   string         `json:"text"`
-	DryRun bool           `json:"dry_run"`
-	Change model.ChangeID `json:"change_id"`
+	DryRun bool           `json:"dry_run,omitempty"`
+	Change model.ChangeID `json:"change_id,omitempty"`
 }
 
 // StatementReply is the reply to a statement.
@@ -54,7 +54,7 @@
 
 // statements runs an operator's text.
 func (h *Admin) statements(c echo.Context) error {
-	var body statementBody
+	var body StatementBody
 	if err := decodeStrictly(c.Request().Body, &body); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/statement/apply_service.go
@@ -0,0 +1,267 @@
+package statement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// compareService orders services by name.
+func compareService(service model.Service, name model.ServiceName) int {
+	return cmp.Compare(service.Name, name)
+}
+
+// compareUpstream orders upstreams by identifier.
+func compareUpstream(upstream model.Upstream, id model.UpstreamID) int {
+	return cmp.Compare(upstream.ID, id)
+}
+
+// touch returns a service for changes, or nil. Its upstreams become a copy.
+func (e *editor) touch(name model.ServiceName) *model.Service {
+	service := e.config.Service(name)
+	if service == nil {
+		return nil
+	}
+	if _, copied := e.touched[name]; !copied {
+		service.Upstreams = slices.Clone(service.Upstreams)
+	}
+	e.touched[name] = e.position
+	return service
+}
+
+// createService adds a service with its upstreams.
+func (e *editor) createService(c *CreateService) {
+	e.at(c.Pos)
+	name := model.ServiceName(c.Name)
+	i, found := slices.BinarySearchFunc(e.config.Services, name, compareService)
+	if found {
+		e.fail(RuleDuplicate, "service %s exists already", name)
+		return
+	}
+	service := model.Service{Name: name, User: model.UserID(c.User), Policy: model.DefaultPolicy()}
+	setPolicy(&service.Policy, c.Options)
+	e.config.Services = slices.Insert(e.config.Services, i, service)
+	e.touched[name] = e.position
+	for _, upstream := range c.Upstreams {
+		e.at(upstream.Pos)
+		e.addUpstream(name, model.UpstreamID(string(name)+"/"+string(upstream.Name)), upstream.Options)
+	}
+}
+
+// alterService changes the matching services.
+func (e *editor) alterService(c *AlterService) {
+	e.at(c.Pos)
+	for _, name := range e.matchServices(c.Pattern, c.Where) {
+		setPolicy(&e.touch(name).Policy, c.Options)
+	}
+}
+
+// dropService removes the matching services and their convictions.
+func (e *editor) dropService(c *DropService) {
+	e.at(c.Pos)
+	for _, name := range e.matchServices(c.Pattern, c.Where) {
+		e.config.Services = slices.DeleteFunc(e.config.Services, func(s model.Service) bool { return s.Name == name })
+		e.config.Convictions = slices.DeleteFunc(e.config.Convictions, func(v model.Conviction) bool { return v.Service == name })
+		delete(e.touched, name)
+	}
+}
+
+// matchServices returns the services that meet a pattern and conditions; none is
+// a problem.
+func (e *editor) matchServices(pattern Pattern, where *Where) []model.ServiceName {
+	table, failure := where.Select(ServiceTable(e.config, pattern, ""))
+	if failure != nil {
+		e.problems = append(e.problems, &Problem{Rule: RuleUnknown, Detail: failure.Message})
+		return nil
+	}
+	var names []model.ServiceName
+	for _, row := range table.Rows {
+		names = append(names, model.ServiceName(row[0]))
+	}
+	if len(names) == 0 {
+		e.fail(RuleUnknown, "no service matches %s", pattern)
+	}
+	return names
+}
+
+// setPolicy sets options of a policy.
+func setPolicy(policy *model.Policy, options []*ServiceOption) {
+	wasRepeatable := policy.Repeatable
+	for _, option := range options {
+		switch {
+		case option.Answer != nil:
+			setAnswer(policy, option.Answer)
+		case option.Deadline != nil:
+			policy.Deadline = time.Duration(*option.Deadline)
+		case option.Coverage != nil:
+			policy.LeastCoverage = model.Percent(*option.Coverage)
+		case option.Repeat != nil:
+			policy.Repeatable = bool(*option.Repeat)
+		case option.Hedge != nil:
+			policy.HedgeBudget = model.Percent(*option.Hedge)
+		case option.Retry != nil:
+			policy.RetryBudget = model.Percent(*option.Retry)
+		case option.Refuse != nil:
+			setRefuse(policy, option.Refuse)
+		case option.Rate != nil:
+			policy.RequestsPerSecond = float64(*option.Rate)
+		}
+	}
+	settleBudgets(policy, wasRepeatable, options)
+}
+
+// settleBudgets gives work that becomes repeatable the default budgets, and
+// takes them off work that may not be repeated, unless the statement states
+// them: then validation judges them.
+func settleBudgets(policy *model.Policy, wasRepeatable bool, options []*ServiceOption) {
+	hedge, retry := model.Percent(0), model.Percent(0)
+	switch {
+	case policy.Repeatable && wasRepeatable:
+		return
+	case policy.Repeatable:
+		hedge, retry = model.DefaultHedgeBudget, model.DefaultRetryBudget
+	}
+	if !slices.ContainsFunc(options, func(o *ServiceOption) bool { return o.Hedge != nil }) {
+		policy.HedgeBudget = hedge
+	}
+	if !slices.ContainsFunc(options, func(o *ServiceOption) bool { return o.Retry != nil }) {
+		policy.RetryBudget = retry
+	}
+}
+
+// setAnswer sets when a search answers early.
+func setAnswer(policy *model.Policy, option *AnswerOption) {
+	policy.AnswerBy = 0
+	if option.By != nil {
+		policy.AnswerBy = time.Duration(*option.By)
+	}
+}
+
+// setRefuse sets the bounds of the wait for a slot.
+func setRefuse(policy *model.Policy, option *RefuseOption) {
+	if option.Queue != nil {
+		policy.QueueLimit = int(*option.Queue)
+	}
+	if option.Wait != nil {
+		policy.QueueWait = time.Duration(*option.Wait)
+	}
+	if option.Alone != nil {
+		policy.QueueWait = time.Duration(*option.Alone)
+	}
+}
+
+// createUpstream adds an upstream to a service.
+func (e *editor) createUpstream(c *CreateUpstream) {
+	e.at(c.Pos)
+	id := model.UpstreamID(c.Name)
+	e.addUpstream(id.Service(), id, c.Options)
+}
+
+// addUpstream adds an upstream to a service.
+func (e *editor) addUpstream(name model.ServiceName, id model.UpstreamID, options []*UpstreamOption) {
+	service := e.touch(name)
+	if service == nil {
+		e.fail(RuleUnknown, "there is no service %s", name)
+		return
+	}
+	i, found := slices.BinarySearchFunc(service.Upstreams, id, compareUpstream)
+	if found {
+		e.fail(RuleDuplicate, "upstream %s exists already", id)
+		return
+	}
+	upstream := model.Upstream{ID: id}
+	setUpstream(&upstream, options)
+	e.checkUpstream(&upstream)
+	service.Upstreams = slices.Insert(service.Upstreams, i, upstream)
+}
+
+// checkUpstream notes what a new upstream's statement lacks.
+func (e *editor) checkUpstream(upstream *model.Upstream) {
+	if upstream.Address == "" {
+		e.fail(RuleMissing, "upstream %s: no address is stated (at 10.0.0.1:9001)", upstream.ID)
+	}
+	if upstream.FailureDomain == "" {
+		e.fail(RuleMissing, "upstream %s: no failure domain is stated (in santiago-1)", upstream.ID)
+	}
+}
+
+// setUpstream sets options of an upstream.
+func setUpstream(upstream *model.Upstream, options []*UpstreamOption) {
+	for _, option := range options {
+		switch {
+		case option.At != nil:
+			upstream.Address = string(*option.At)
+		case option.In != nil:
+			upstream.FailureDomain = model.FailureDomain(*option.In)
+		case option.Shard != nil:
+			upstream.Shard = model.ShardID(*option.Shard)
+		case option.Slots != nil:
+			upstream.Slots = int(*option.Slots)
+		case option.Connections != nil:
+			upstream.Connections = int(*option.Connections)
+		case option.Draining:
+			upstream.Draining = true
+		}
+	}
+}
+
+// alterUpstream changes the matching upstreams.
+func (e *editor) alterUpstream(c *AlterUpstream) {
+	e.at(c.Pos)
+	for _, id := range e.matchUpstreams(c.Pattern, c.Where) {
+		setUpstream(e.touch(id.Service()).Upstream(id), c.Options)
+	}
+}
+
+// dropUpstream removes the matching upstreams.
+func (e *editor) dropUpstream(c *DropUpstream) {
+	e.at(c.Pos)
+	for _, id := range e.matchUpstreams(c.Pattern, c.Where) {
+		service := e.touch(id.Service())
+		service.Upstreams = slices.DeleteFunc(service.Upstreams, func(u model.Upstream) bool { return u.ID == id })
+	}
+}
+
+// drain takes upstreams or a host out of service, or back in.
+func (e *editor) drain(c *Drain) {
+	e.at(c.Pos)
+	if c.Host != nil {
+		e.drainHost(model.HostID(*c.Host), c.Lift)
+		return
+	}
+	for _, id := range e.matchUpstreams(*c.Upstream, c.Where) {
+		e.touch(id.Service()).Upstream(id).Draining = !c.Lift
+	}
+}
+
+// drainHost takes an entry host out of service, or back in; doing so twice is no
+// problem.
+func (e *editor) drainHost(host model.HostID, lift bool) {
+	i, found := slices.BinarySearch(e.config.LeavingHosts, host)
+	switch {
+	case found && lift:
+		e.config.LeavingHosts = slices.Delete(e.config.LeavingHosts, i, i+1)
+	case !found && !lift:
+		e.config.LeavingHosts = slices.Insert(e.config.LeavingHosts, i, host)
+	}
+}
+
+// matchUpstreams returns the upstreams that meet a pattern and conditions; none
+// is a problem.
+func (e *editor) matchUpstreams(pattern Pattern, where *Where) []model.UpstreamID {
+	table, failure := where.Select(UpstreamTable(e.config, pattern, ""))
+	if failure != nil {
+		e.problems = append(e.problems, &Problem{Rule: RuleUnknown, Detail: failure.Message})
+		return nil
+	}
+	var ids []model.UpstreamID
+	for _, row := range table.Rows {
+		ids = append(ids, model.UpstreamID(row[0]))
+	}
+	if len(ids) == 0 {
+		e.fail(RuleUnknown, "no upstream matches %s", pattern)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/statement/problem.go
@@ -0,0 +1,126 @@
+package statement
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// Position is a place in a text, both counted from one; zero means no place.
+type Position struct {
+	Line   int `json:"line"`
+	Column int `json:"column"`
+}
+
+// position converts the lexer's position.
+func position(p lexer.Position) Position { return Position{Line: p.Line, Column: p.Column} }
+
+// String returns "line 3, column 7".
+func (p Position) String() string { return fmt.Sprintf("line %d, column %d", p.Line, p.Column) }
+
+// Rule names what a text violates.
+type Rule string
+
+// The rules. RuleSyntax is a text that cannot be read; the others are changes
+// that would break something.
+const (
+	RuleSyntax           Rule = "syntax"
+	RuleUnknown          Rule = "unknown_name"
+	RuleDuplicate        Rule = "duplicate_name"
+	RuleDuplicateAddress Rule = "duplicate_address"
+	RuleNoUpstreams      Rule = "no_upstreams"
+	RuleNoActive         Rule = "no_active_upstreams"
+	RuleDeadline         Rule = "impossible_deadline"
+	RuleCoverage         Rule = "coverage_out_of_range"
+	RuleBudget           Rule = "budget_out_of_range"
+	RuleHedge            Rule = "hedge_without_repeat"
+	RuleQueue            Rule = "queue_out_of_range"
+	RuleSlots            Rule = "slots_out_of_range"
+	RuleMissing          Rule = "missing_option"
+	RuleWeight           Rule = "weight_out_of_range"
+	RuleInUse            Rule = "in_use"
+	RuleKeyHash          Rule = "key_hash"
+	RuleForbidden        Rule = "forbidden"
+	RuleMixed            Rule = "mixed_statements"
+	RuleSize             Rule = "size"
+)
+
+// Problem is one thing that is wrong with a text, and where.
+type Problem struct {
+	Position Position `json:"position"`
+	Rule     Rule     `json:"rule"`
+	// Found and Expected describe a syntax problem.
+	Found    string `json:"found,omitempty"`
+	Expected string `json:"expected,omitempty"`
+	// Detail describes any other problem.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	var text strings.Builder
+	if p.Position != (Position{}) {
+		fmt.Fprintf(&text, "%s: ", p.Position)
+	}
+	if p.Detail != "" {
+		fmt.Fprintf(&text, "%s: %s", p.Rule, p.Detail)
+		return text.String()
+	}
+	fmt.Fprintf(&text, "found %s", p.Found)
+	if p.Expected != "" {
+		fmt.Fprintf(&text, ", expected %s", p.Expected)
+	}
+	return text.String()
+}
+
+// Failure returns the problem as a failure for operators.
+func (p *Problem) Failure() *model.Failure {
+	code := model.CodeInvalid
+	if p.Rule == RuleForbidden {
+		code = model.CodeForbidden
+	}
+	return model.Failf(code, "%s", p.Error())
+}
+
+// syntaxProblem converts an error of the parser.
+func syntaxProblem(err error) *Problem {
+	problem := &Problem{Rule: RuleSyntax}
+	var located participle.Error
+	if errors.As(err, &located) {
+		problem.Position = position(located.Position())
+		problem.Found = located.Message()
+	}
+	var value *ValueError
+	var unexpected *participle.UnexpectedTokenError
+	switch {
+	case errors.As(err, &value):
+		problem.Found = fmt.Sprintf("%q", value.Found)
+		problem.Expected = value.Expected
+	case errors.As(err, &unexpected):
+		problem.Found = describeToken(unexpected.Unexpected)
+		problem.Expected = expectation(unexpected.Message())
+	}
+	return problem
+}
+
+// describeToken names a token for a person.
+func describeToken(token lexer.Token) string {
+	if token.EOF() {
+		return "the end of the statement"
+	}
+	return fmt.Sprintf("%q", token.Value)
+}
+
+// expectation takes what was expected out of the parser's message.
+func expectation(message string) string {
+	_, expected, found := strings.Cut(message, "(expected ")
+	if !found {
+		return "the end of the statement"
+	}
+	return strings.TrimSuffix(expected, ")")
+}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -21,15 +21,20 @@
 
 // Parse reads a text. The failure names line, column and what was expected.
 func Parse(text string) (Script, *model.Failure) {
-	return Script{}, model.Failf(model.CodeInvalid, "not supported yet")
+	script, problems := ParseAll(text)
+	if len(problems) > 0 {
+		return Script{}, problems[0].Failure()
+	}
+	return script, nil
 }
 
 // Apply returns the configuration after the changes; it leaves the given one as
 // it is. The revision is not changed. A change that would break a service is a
 // failure.
 func Apply(config *model.Config, changes []Change) (*model.Config, *model.Failure) {
-	return config, nil
+	changed, problems := ApplyAll(config, changes)
+	if len(problems) > 0 {
+		return nil, problems[0].Failure()
+	}
+	return changed, nil
 }
-
-// Print returns statements that make the configuration from an empty one.
-func Print(config *model.Config) string { return "" }
--- /dev/null
+++ b/internal/statement/tables.go
@@ -0,0 +1,191 @@
+package statement
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// all is the pattern that leaves nothing out.
+const all = Pattern("*")
+
+// matches reports whether an optional pattern matches.
+func (p Pattern) matches(name string) bool { return p == "" || p == all || p.Match(name) }
+
+// ServiceTable lists services. The user limits it to one user's; empty means
+// all.
+func ServiceTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+	table := model.Table{Columns: []string{
+		"service", "user", "upstreams", "draining", "answer_by", "deadline", "coverage",
+		"repeat", "hedge_budget", "retry_budget", "queue", "wait", "rate",
+	}, Rows: [][]string{}}
+	for i := range config.Services {
+		service := &config.Services[i]
+		if pattern.matches(string(service.Name)) && isVisible(service, user) {
+			table.Rows = append(table.Rows, serviceRow(service))
+		}
+	}
+	return table
+}
+
+// isVisible reports whether a user's operator sees a service.
+func isVisible(service *model.Service, user model.UserID) bool {
+	return user == "" || service.User == user
+}
+
+// serviceRow is one row of ServiceTable.
+func serviceRow(service *model.Service) []string {
+	policy := &service.Policy
+	draining := 0
+	for i := range service.Upstreams {
+		if service.Upstreams[i].Draining {
+			draining++
+		}
+	}
+	return []string{
+		string(service.Name),
+		string(service.User),
+		strconv.Itoa(len(service.Upstreams)),
+		strconv.Itoa(draining),
+		answerBy(policy.AnswerBy),
+		policy.Deadline.String(),
+		Percent(policy.LeastCoverage).String(),
+		YesNo(policy.Repeatable).String(),
+		Percent(policy.HedgeBudget).String(),
+		Percent(policy.RetryBudget).String(),
+		strconv.Itoa(policy.QueueLimit),
+		policy.QueueWait.String(),
+		Rate(policy.RequestsPerSecond).String(),
+	}
+}
+
+// answerBy names the time of an early answer.
+func answerBy(d time.Duration) string {
+	if d == 0 {
+		return "deadline"
+	}
+	return d.String()
+}
+
+// States of an upstream in a table.
+const (
+	stateActive   = "active"
+	stateDraining = "draining"
+)
+
+// UpstreamTable lists upstreams; the pattern is of "service/upstream", or of the
+// service alone.
+func UpstreamTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+	table := model.Table{Columns: []string{
+		"upstream", "service", "address", "failure_domain", "shard", "slots", "connections", "state",
+	}, Rows: [][]string{}}
+	for i := range config.Services {
+		service := &config.Services[i]
+		if !isVisible(service, user) {
+			continue
+		}
+		whole := pattern.matches(string(service.Name))
+		for j := range service.Upstreams {
+			upstream := &service.Upstreams[j]
+			if whole || pattern.matches(string(upstream.ID)) {
+				table.Rows = append(table.Rows, upstreamRow(service, upstream))
+			}
+		}
+	}
+	return table
+}
+
+// upstreamRow is one row of UpstreamTable.
+func upstreamRow(service *model.Service, upstream *model.Upstream) []string {
+	state := stateActive
+	if upstream.Draining {
+		state = stateDraining
+	}
+	return []string{
+		string(upstream.ID),
+		string(service.Name),
+		upstream.Address,
+		string(upstream.FailureDomain),
+		string(upstream.Shard),
+		strconv.Itoa(upstream.Slots),
+		strconv.Itoa(upstream.Connections),
+		state,
+	}
+}
+
+// UserTable lists users.
+func UserTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+	table := model.Table{Columns: []string{"user", "weight", "rate", "in_flight", "services"}, Rows: [][]string{}}
+	owned := make(map[model.UserID]int)
+	for i := range config.Services {
+		owned[config.Services[i].User]++
+	}
+	for _, u := range config.Users {
+		if !pattern.matches(string(u.ID)) || user != "" && u.ID != user {
+			continue
+		}
+		table.Rows = append(table.Rows, []string{
+			string(u.ID), strconv.Itoa(u.Weight), Rate(u.RequestsPerSecond).String(),
+			Limit(u.InFlight).String(), strconv.Itoa(owned[u.ID]),
+		})
+	}
+	return table
+}
+
+// OperatorTable lists operators without their key hashes.
+func OperatorTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+	table := model.Table{Columns: []string{"operator", "user"}, Rows: [][]string{}}
+	for _, operator := range config.Operators {
+		if !pattern.matches(string(operator.Name)) || user != "" && operator.User != user {
+			continue
+		}
+		limit := string(operator.User)
+		if limit == "" {
+			limit = "all"
+		}
+		table.Rows = append(table.Rows, []string{string(operator.Name), limit})
+	}
+	return table
+}
+
+// LimitTable lists the limits of users and services on each node.
+func LimitTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+	table := model.Table{Columns: []string{"name", "kind", "rate", "in_flight", "weight", "queue", "wait"}, Rows: [][]string{}}
+	for _, u := range config.Users {
+		if !pattern.matches(string(u.ID)) || user != "" && u.ID != user {
+			continue
+		}
+		table.Rows = append(table.Rows, []string{
+			string(u.ID), "user", Rate(u.RequestsPerSecond).String(), Limit(u.InFlight).String(), strconv.Itoa(u.Weight), "", "",
+		})
+	}
+	for i := range config.Services {
+		service := &config.Services[i]
+		if !pattern.matches(string(service.Name)) || !isVisible(service, user) {
+			continue
+		}
+		table.Rows = append(table.Rows, []string{
+			string(service.Name), "service", Rate(service.Policy.RequestsPerSecond).String(), "", "",
+			strconv.Itoa(service.Policy.QueueLimit), service.Policy.QueueWait.String(),
+		})
+	}
+	return table
+}
+
+// ConvictionTable lists the convictions that operators made.
+func ConvictionTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+	table := model.Table{Columns: []string{"service", "fingerprint", "until"}, Rows: [][]string{}}
+	for _, conviction := range config.Convictions {
+		service := config.Service(conviction.Service)
+		if service == nil || !isVisible(service, user) || !pattern.matches(string(conviction.Service)) {
+			continue
+		}
+		until := "an operator pardons it"
+		if conviction.Until != 0 {
+			until = Time(conviction.Until).String()
+		}
+		table.Rows = append(table.Rows, []string{string(conviction.Service), Fingerprint(conviction.Fingerprint).String(), until})
+	}
+	return table
+}
--- /dev/null
+++ b/internal/statement/validate.go
@@ -0,0 +1,238 @@
+package statement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"golang.org/x/crypto/bcrypt"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// Bounds of a key hash's cost: below, guessing is cheap; above, one check would
+// hold up a node.
+const (
+	MinKeyCost = 10
+	MaxKeyCost = 14
+)
+
+// checkKeyHash notes a hash that no key could be checked against.
+func (e *editor) checkKeyHash(hash string) {
+	cost, err := bcrypt.Cost([]byte(hash))
+	if err != nil {
+		e.fail(RuleKeyHash, "the key hash is not a bcrypt hash; make one with 'hawthorntack ctl --new-key'")
+		return
+	}
+	if cost < MinKeyCost || cost > MaxKeyCost {
+		e.fail(RuleKeyHash, "the key hash has the cost %d; it must be from %d to %d", cost, MinKeyCost, MaxKeyCost)
+	}
+}
+
+// validate notes what would be broken once all changes are made.
+func (e *editor) validate(old *model.Config) {
+	for i := range e.config.Services {
+		service := &e.config.Services[i]
+		place, touched := e.touched[service.Name]
+		if !touched {
+			continue
+		}
+		e.position = place
+		e.validateService(service, old.Service(service.Name))
+	}
+	e.validateAddresses()
+	e.validateOperators()
+}
+
+// validateService notes what is wrong with a changed service; before is nil for
+// a new one.
+func (e *editor) validateService(service, before *model.Service) {
+	if e.config.User(service.User) == nil {
+		e.fail(RuleUnknown, "service %s: there is no user %s", service.Name, service.User)
+	}
+	e.validatePolicy(service.Name, &service.Policy)
+	for i := range service.Upstreams {
+		e.validateUpstream(&service.Upstreams[i])
+	}
+	if before == nil {
+		return
+	}
+	if len(before.Upstreams) > 0 && len(service.Upstreams) == 0 {
+		e.fail(RuleNoUpstreams, "service %s would lose its last upstream; drop the service instead", service.Name)
+		return
+	}
+	if isServed(before) && !isServed(service) {
+		e.fail(RuleNoActive, "service %s would have only draining upstreams", service.Name)
+	}
+}
+
+// isServed reports whether a service has an upstream that takes new work.
+func isServed(service *model.Service) bool {
+	return slices.ContainsFunc(service.Upstreams, func(u model.Upstream) bool { return !u.Draining })
+}
+
+// validatePolicy notes what is wrong with a policy.
+func (e *editor) validatePolicy(name model.ServiceName, policy *model.Policy) {
+	if policy.Deadline <= 0 {
+		e.fail(RuleDeadline, "service %s: the deadline must be over zero", name)
+	}
+	if policy.AnswerBy > policy.Deadline {
+		e.fail(RuleDeadline, "service %s: answer by %s is after the deadline %s", name, policy.AnswerBy, policy.Deadline)
+	}
+	if policy.LeastCoverage < 0 || policy.LeastCoverage > 100 {
+		e.fail(RuleCoverage, "service %s: coverage at least %s is not from 0%% to 100%%", name, Percent(policy.LeastCoverage))
+	}
+	if policy.HedgeBudget < 0 || policy.HedgeBudget > 100 {
+		e.fail(RuleBudget, "service %s: hedge budget %s is not from 0%% to 100%%", name, Percent(policy.HedgeBudget))
+	}
+	if policy.RetryBudget < 0 || policy.RetryBudget > 100 {
+		e.fail(RuleBudget, "service %s: retry budget %s is not from 0%% to 100%%", name, Percent(policy.RetryBudget))
+	}
+	if !policy.Repeatable && (policy.HedgeBudget > 0 || policy.RetryBudget > 0) {
+		e.fail(RuleHedge, "service %s: work that may not be repeated has no hedge or retry budget", name)
+	}
+	if policy.QueueWait > policy.Deadline {
+		e.fail(RuleQueue, "service %s: wait %s is longer than the deadline %s", name, policy.QueueWait, policy.Deadline)
+	}
+}
+
+// validateUpstream notes what is wrong with an upstream.
+func (e *editor) validateUpstream(upstream *model.Upstream) {
+	if upstream.Slots < 1 {
+		e.fail(RuleSlots, "upstream %s: slots must be at least 1", upstream.ID)
+	}
+	if upstream.Slots > upstream.Connections {
+		e.fail(RuleSlots, "upstream %s: %d slots are over its %d connections", upstream.ID, upstream.Slots, upstream.Connections)
+	}
+}
+
+// validateAddresses notes two upstreams of one address, where either was
+// changed: their limits would be counted twice.
+func (e *editor) validateAddresses() {
+	holders := make(map[string]model.UpstreamID)
+	for i := range e.config.Services {
+		for _, upstream := range e.config.Services[i].Upstreams {
+			other, taken := holders[upstream.Address]
+			holders[upstream.Address] = upstream.ID
+			if !taken {
+				continue
+			}
+			e.failDuplicate(other, upstream.ID, upstream.Address)
+		}
+	}
+}
+
+// failDuplicate notes a shared address at the statement that brought it in.
+func (e *editor) failDuplicate(first, second model.UpstreamID, address string) {
+	place, touched := e.touched[second.Service()]
+	if !touched {
+		place, touched = e.touched[first.Service()]
+	}
+	if touched {
+		e.failAt(place, RuleDuplicateAddress, "upstreams %s and %s have the same address %s", first, second, address)
+	}
+}
+
+// validateOperators notes operators of unknown users.
+func (e *editor) validateOperators() {
+	for _, operator := range e.config.Operators {
+		if operator.User != "" && e.config.User(operator.User) == nil {
+			e.failAt(Position{}, RuleUnknown, "operator %s: there is no user %s", operator.Name, operator.User)
+		}
+	}
+}
+
+// permission is a change that only checks: the operator may make all the
+// following ones.
+type permission struct {
+	operator model.OperatorName
+	changes  []Change
+}
+
+func (*permission) isChange() {}
+
+// Permit returns a script whose application fails if it changes what the
+// operator may not change, in the configuration that it is applied to. An empty
+// operator is nobody: everything is permitted while no operator is configured.
+func Permit(script Script, operator model.OperatorName) Script {
+	check := &permission{operator: operator, changes: script.Changes}
+	script.Changes = append([]Change{check}, script.Changes...)
+	return script
+}
+
+// permit checks an operator's permission for the following changes.
+func (e *editor) permit(p *permission) {
+	if len(e.config.Operators) == 0 {
+		return
+	}
+	i, found := slices.BinarySearchFunc(e.config.Operators, p.operator, compareOperator)
+	if !found {
+		e.fail(RuleForbidden, "there is no operator %q", p.operator)
+		return
+	}
+	user := e.config.Operators[i].User
+	if user == "" {
+		return
+	}
+	for _, change := range p.changes {
+		if reason := e.forbids(user, p.operator, change); reason != "" {
+			e.failAt(PositionOf(change), RuleForbidden, "operator %s is limited to user %s and may not %s", p.operator, user, reason)
+		}
+	}
+}
+
+// forbids returns what a change does that a user's operator may not do, or "".
+func (e *editor) forbids(user model.UserID, operator model.OperatorName, change Change) string {
+	switch c := change.(type) {
+	case *CreateService:
+		if model.UserID(c.User) != user {
+			return fmt.Sprintf("create a service for user %s", c.User)
+		}
+		return ""
+	case *RotateKey:
+		if model.OperatorName(c.Name) != operator {
+			return fmt.Sprintf("rotate the key of operator %s", c.Name)
+		}
+		return ""
+	case *AlterService:
+		return e.forbidsServices(user, c.Pattern)
+	case *DropService:
+		return e.forbidsServices(user, c.Pattern)
+	case *CreateUpstream:
+		return e.forbidsServices(user, Pattern(model.UpstreamID(c.Name).Service()))
+	case *AlterUpstream:
+		return e.forbidsUpstreams(user, c.Pattern)
+	case *DropUpstream:
+		return e.forbidsUpstreams(user, c.Pattern)
+	case *Drain:
+		if c.Host != nil {
+			return "drain hosts"
+		}
+		return e.forbidsUpstreams(user, *c.Upstream)
+	case *Convict:
+		return e.forbidsServices(user, Pattern(c.Service))
+	case *Pardon:
+		return e.forbidsServices(user, Pattern(c.Service))
+	default:
+		return "change users and operators"
+	}
+}
+
+// forbidsUpstreams is forbidsServices for a pattern of upstreams.
+func (e *editor) forbidsUpstreams(user model.UserID, pattern Pattern) string {
+	service, _, _ := strings.Cut(string(pattern), "/")
+	return e.forbidsServices(user, Pattern(service))
+}
+
+// forbidsServices returns the first service of another user that a pattern
+// matches. Conditions are left aside, so that they cannot be used to learn of
+// other users' services.
+func (e *editor) forbidsServices(user model.UserID, pattern Pattern) string {
+	for i := range e.config.Services {
+		service := &e.config.Services[i]
+		if service.User != user && pattern.Match(string(service.Name)) {
+			return "change services of other users"
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/statement/where.go
@@ -0,0 +1,128 @@
+package statement
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// Operator is a comparison.
+type Operator string
+
+// The comparisons.
+const (
+	Equal    Operator = "="
+	NotEqual Operator = "!="
+	Less     Operator = "<"
+	Greater  Operator = ">"
+	Like     Operator = "like"
+)
+
+// Capture implements participle.Capture.
+func (o *Operator) Capture(words []string) error {
+	*o = Operator(strings.ToLower(words[0]))
+	return nil
+}
+
+// Select returns the rows of a table that meet the conditions; nil conditions
+// are met by all. A column that the table lacks is a failure.
+func (w *Where) Select(table model.Table) (model.Table, *model.Failure) {
+	if w == nil {
+		return table, nil
+	}
+	selected := model.Table{Columns: table.Columns, Rows: [][]string{}}
+	columns, failure := w.columns(table.Columns)
+	if failure != nil {
+		return selected, failure
+	}
+	for _, row := range table.Rows {
+		if w.holds(row, columns) {
+			selected.Rows = append(selected.Rows, row)
+		}
+	}
+	return selected, nil
+}
+
+// columns returns the index of each condition's column.
+func (w *Where) columns(names []string) ([]int, *model.Failure) {
+	var indexes []int
+	for _, condition := range w.Conditions {
+		index := columnIndex(names, condition.Column)
+		if index < 0 {
+			return nil, (&Problem{
+				Position: position(condition.Pos),
+				Found:    condition.Column,
+				Expected: "a column: " + strings.Join(names, ", "),
+			}).Failure()
+		}
+		indexes = append(indexes, index)
+	}
+	return indexes, nil
+}
+
+// columnIndex returns the index of a column, or -1.
+func columnIndex(names []string, column string) int {
+	for i, name := range names {
+		if strings.EqualFold(name, column) {
+			return i
+		}
+	}
+	return -1
+}
+
+// holds reports whether a row meets all conditions.
+func (w *Where) holds(row []string, columns []int) bool {
+	for i, condition := range w.Conditions {
+		if !condition.holds(row[columns[i]]) {
+			return false
+		}
+	}
+	return true
+}
+
+// holds reports whether a cell meets the condition.
+func (c *Condition) holds(cell string) bool {
+	value := string(c.Value)
+	switch c.Test {
+	case Equal:
+		return compare(cell, value) == 0
+	case NotEqual:
+		return compare(cell, value) != 0
+	case Less:
+		return compare(cell, value) < 0
+	case Greater:
+		return compare(cell, value) > 0
+	default:
+		return Pattern(value).Match(cell)
+	}
+}
+
+// compare orders two cells: as quantities when both are, else as texts.
+func compare(a, b string) int {
+	x, isQuantity := quantity(a)
+	y, bothQuantities := quantity(b)
+	if !isQuantity || !bothQuantities {
+		return strings.Compare(a, b)
+	}
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// quantity reads a number, a percentage, or a duration in seconds.
+func quantity(cell string) (float64, bool) {
+	if number, err := strconv.ParseFloat(strings.TrimSuffix(cell, "%"), 64); err == nil {
+		return number, true
+	}
+	if duration, err := time.ParseDuration(cell); err == nil {
+		return duration.Seconds(), true
+	}
+	return 0, false
+}
