--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -21,6 +21,8 @@
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// shutdownTimeout bounds the writing of the last answers.
+	shutdownTimeout = 2 * time.Second
 )
 
 // NewEcho returns an echo server with typed errors and bounded bodies. The limit
@@ -35,7 +37,8 @@
 	return e
 }
 
-// Serve serves an echo server on a listener until the context ends.
+// Serve serves an echo server on a listener until the context ends. Handlers that
+// have their answer by then still write it.
 func Serve(ctx context.Context, e *echo.Echo, listener net.Listener) error {
 	server := &http.Server{
 		Handler:           e,
@@ -44,14 +47,29 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	finished := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(finished)
+		shutDown(server)
+	})
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		stop()
 		return fmt.Errorf("serve HTTP on %s: %w", listener.Addr(), err)
 	}
+	<-finished
 	return nil
 }
 
+// shutDown lets the handlers finish and then closes what is left.
+func shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		server.Close()
+	}
+}
+
 // isServing reads the node's state from a dump.
 func isServing(dump []byte) bool {
 	var state struct {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -22,6 +22,8 @@
 	maxFrameBytes = 4 << 20
 	// connectTimeout bounds the opening of a stream.
 	connectTimeout = 2 * time.Second
+	// closeTimeout bounds the sending of what is queued at the end.
+	closeTimeout = 1 * time.Second
 )
 
 // Listener is told of what happens on streams.
@@ -43,6 +45,8 @@
 	closed  bool
 	streams map[streamKey]*stream
 	running sync.WaitGroup
+	// closing is closed when the streams are to end after their last message.
+	closing chan struct{}
 }
 
 // streamKey names a stream: a host that returns at another address is another
@@ -65,6 +69,7 @@
 		credentials: creds,
 		listener:    listener,
 		streams:     make(map[streamKey]*stream),
+		closing:     make(chan struct{}),
 	}
 }
 
@@ -88,12 +93,14 @@
 	}
 }
 
-// Close ends all streams and waits for their goroutines.
+// Close sends what is queued, for no longer than closeTimeout, ends all streams
+// and waits for their goroutines.
 func (c *Client) Close() {
 	c.mu.Lock()
 	c.closed = true
+	close(c.closing)
 	for _, s := range c.streams {
-		s.cancel()
+		time.AfterFunc(closeTimeout, s.cancel)
 	}
 	c.mu.Unlock()
 	c.running.Wait()
@@ -158,7 +165,8 @@
 	return out, nil
 }
 
-// pump writes the queued messages as numbered frames.
+// pump writes the queued messages as numbered frames until the stream ends, or
+// until the queue is empty once the client is closing.
 func (c *Client) pump(out grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed], key streamKey, s *stream) error {
 	var sequence uint64
 	for {
@@ -167,18 +175,41 @@
 			return out.Context().Err()
 		case m := <-s.outbox:
 			sequence++
-			frame := &peerpb.Frame{
-				From:        string(c.self.Host),
-				Incarnation: uint64(c.self.Incarnation),
-				Sequence:    sequence,
-				To:          string(key.host),
-			}
-			if err := encode(frame, m); err != nil {
+			if err := c.sendFrame(out, key, sequence, m); err != nil {
 				return err
 			}
-			if err := out.Send(frame); err != nil {
+		case <-c.closing:
+			return c.drain(out, key, s, sequence)
+		}
+	}
+}
+
+// drain writes what is queued and waits until the peer has taken it.
+func (c *Client) drain(out grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed], key streamKey, s *stream, sequence uint64) error {
+	for {
+		select {
+		case m := <-s.outbox:
+			sequence++
+			if err := c.sendFrame(out, key, sequence, m); err != nil {
 				return err
 			}
+		default:
+			_, err := out.CloseAndRecv()
+			return err
 		}
 	}
 }
+
+// sendFrame writes one message.
+func (c *Client) sendFrame(out grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed], key streamKey, sequence uint64, m message.Message) error {
+	frame := &peerpb.Frame{
+		From:        string(c.self.Host),
+		Incarnation: uint64(c.self.Incarnation),
+		Sequence:    sequence,
+		To:          string(key.host),
+	}
+	if err := encode(frame, m); err != nil {
+		return err
+	}
+	return out.Send(frame)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 
 	"google.golang.org/grpc"
@@ -51,6 +53,9 @@
 			if from != "" {
 				s.listener.PeerLost(from)
 			}
+			if errors.Is(err, io.EOF) {
+				return in.SendAndClose(&peerpb.Closed{})
+			}
 			return fmt.Errorf("stream from %q: %w", from, err)
 		}
 		if model.HostID(frame.GetTo()) != s.self {
--- a/internal/runtime/calls.go
+++ b/internal/runtime/calls.go
@@ -102,6 +102,16 @@
 		c.submit(event.CallerGone{Call: id})
 		return nil, ctx.Err()
 	case <-c.done:
+		return lastReply(reply)
+	}
+}
+
+// lastReply returns a reply that came just before the loop ended.
+func lastReply(reply chan effect.Effect) (effect.Effect, error) {
+	select {
+	case e := <-reply:
+		return e, nil
+	default:
 		return nil, StoppedError{}
 	}
 }
