--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
@@ -217,3 +218,9 @@
 		}
 	}
 }
+
+// NewIncarnation returns a number for the life that begins now. Hosts keep
+// nothing, so it comes from the clock, in microseconds since the Unix epoch.
+func NewIncarnation() model.Incarnation {
+	return model.Incarnation(time.Now().UnixMicro())
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,241 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hawthorntack/hawthorntack/internal/daemon"
+	"github.com/hawthorntack/hawthorntack/internal/deployment"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/platform"
+	"github.com/hawthorntack/hawthorntack/internal/reducer"
+	"github.com/hawthorntack/hawthorntack/internal/statement"
+)
+
+// Options describe a demo.
+type Options struct {
+	Deployment deployment.Deployment
+	Nodes      int
+	// BodyLimit bounds request bodies in echo's notation.
+	BodyLimit string
+	// HostListLag is how far the platform's host list lags.
+	HostListLag time.Duration
+	Tune        func(*reducer.Settings)
+	Log         *logrus.Logger
+	Seed        uint64
+}
+
+// Demo is a running demo.
+type Demo struct {
+	StandIns *StandIns
+	Nodes    []*daemon.Daemon
+	running  sync.WaitGroup
+	mu       sync.Mutex
+	failures []error
+}
+
+// Waits of the start.
+const (
+	readyPoll    = 10 * time.Millisecond
+	applyTimeout = 10 * time.Second
+)
+
+// Start starts the stand-ins and the nodes and applies the deployment's
+// configuration. It returns when every node serves with it. The nodes run until
+// the context ends.
+func Start(ctx context.Context, options Options) (*Demo, error) {
+	standIns, err := StartStandIns(options.Deployment, anyPort, options.HostListLag, options.Seed)
+	if err != nil {
+		return nil, err
+	}
+	d := &Demo{StandIns: standIns}
+	for i := range options.Nodes {
+		if err := d.startNode(ctx, options, i); err != nil {
+			standIns.Close()
+			return nil, err
+		}
+	}
+	if err := d.configure(ctx); err != nil {
+		standIns.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// startNode starts one node and puts it on the host list.
+func (d *Demo) startNode(ctx context.Context, options Options, i int) error {
+	host := model.HostID(fmt.Sprintf("host-%d", i+1))
+	domains := options.Deployment.FailureDomains
+	client := platform.NewClient(d.StandIns.PlatformURL())
+	node, err := daemon.New(daemon.Options{
+		Host:          host,
+		Incarnation:   daemon.NewIncarnation(),
+		FailureDomain: domains[i%len(domains)],
+		ListenCaller:  anyPort,
+		ListenPeer:    anyPort,
+		ListenAdmin:   anyPort,
+		BodyLimit:     options.BodyLimit,
+		Tune:          options.Tune,
+		Store:         client,
+		Hosts:         client,
+		Log:           options.Log,
+		Seed:          options.Seed + uint64(i),
+	})
+	if err != nil {
+		return err
+	}
+	d.Nodes = append(d.Nodes, node)
+	d.StandIns.AddHost(model.HostEntry{
+		Host: host, FailureDomain: domains[i%len(domains)], PeerAddress: node.PeerAddress(),
+	})
+	d.running.Go(func() { d.keep(node.Run(ctx)) })
+	return nil
+}
+
+// keep notes a node's error.
+func (d *Demo) keep(err error) {
+	if err == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failures = append(d.failures, err)
+}
+
+// Stop stops all nodes as planned stops, waits for them and ends the stand-ins.
+// It returns the nodes' errors.
+func (d *Demo) Stop() []error {
+	for _, node := range d.Nodes {
+		node.Stop()
+	}
+	d.running.Wait()
+	d.StandIns.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failures
+}
+
+// Entry returns the callers' addresses.
+func (d *Demo) Entry() []string {
+	var addresses []string
+	for _, node := range d.Nodes {
+		addresses = append(addresses, node.CallerAddress())
+	}
+	return addresses
+}
+
+// Admin returns the administration addresses.
+func (d *Demo) Admin() []string {
+	var addresses []string
+	for _, node := range d.Nodes {
+		addresses = append(addresses, node.AdminAddress())
+	}
+	return addresses
+}
+
+// configure applies the configuration through the first node and waits until
+// all nodes can answer from every shard.
+func (d *Demo) configure(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	admin := d.Admin()
+	if err := waitFor(ctx, admin[0], isReady); err != nil {
+		return err
+	}
+	if err := apply(ctx, admin[0], statement.Print(d.StandIns.Config)); err != nil {
+		return err
+	}
+	for _, address := range admin {
+		if err := waitFor(ctx, address, d.isWhole); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartError reports that the demo did not become ready.
+type StartError struct {
+	Address string
+	Reason  string
+}
+
+// Error implements error.
+func (e *StartError) Error() string {
+	return "node at " + e.Address + " is not ready: " + e.Reason
+}
+
+// waitFor polls a node's state dump until it meets the condition.
+func waitFor(ctx context.Context, address string, met func(reducer.Dump) bool) error {
+	for {
+		dump, err := readDump(ctx, address)
+		if err == nil && met(dump) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &StartError{Address: address, Reason: fmt.Sprintf("%v, last error %v", ctx.Err(), err)}
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// isReady reports whether a node serves.
+func isReady(dump reducer.Dump) bool { return dump.State == string(model.Serving) }
+
+// isWhole reports whether a node serves and knows what every upstream holds.
+func (d *Demo) isWhole(dump reducer.Dump) bool {
+	return isReady(dump) && dump.KnownUpstreams == len(d.StandIns.Upstreams)
+}
+
+// readDump reads a node's state dump.
+func readDump(ctx context.Context, address string) (reducer.Dump, error) {
+	var dump reducer.Dump
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/admin/state", nil)
+	if err != nil {
+		return dump, fmt.Errorf("state dump: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return dump, fmt.Errorf("state dump: %w", err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(&dump); err != nil {
+		return dump, fmt.Errorf("state dump: %w", err)
+	}
+	return dump, nil
+}
+
+// apply runs a text through a node's administration API.
+func apply(ctx context.Context, address, text string) error {
+	body, err := json.Marshal(struct {
+		Text string `json:"text"`
+	}{text})
+	if err != nil {
+		return fmt.Errorf("apply configuration: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/admin/statements", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("apply configuration: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("apply configuration: %w", err)
+	}
+	defer response.Body.Close()
+	reply, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("apply configuration: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return &StartError{Address: address, Reason: "configuration not accepted: " + string(reply)}
+	}
+	return nil
+}
