--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,157 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+)
+
+// Limits of the client.
+const (
+	// hostListTimeout bounds a reading of the host list.
+	hostListTimeout = 2 * time.Second
+	// watchMargin is taken off a watch's timeout, so that its reply arrives in
+	// time when nothing changes.
+	watchMargin = 500 * time.Millisecond
+	// idleConnections bounds the idle connections to the platform.
+	idleConnections = 8
+	idleTimeout     = 90 * time.Second
+)
+
+// StatusError reports an HTTP status that the protocol does not know.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("platform %s: unexpected HTTP status %d", e.Path, e.Status)
+}
+
+// Client implements Store and HostLister over HTTP. It repeats nothing: the
+// reducer decides what to do about a lost reply. It is safe for concurrent use.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+// NewClient returns a client of the platform at a base URL such as
+// "http://127.0.0.1:9400".
+func NewClient(base string) *Client {
+	transport := &http.Transport{
+		MaxIdleConns:        idleConnections,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Client{base: base, client: &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Call implements Store. A call that never got a connection is rejected; any
+// other call without a reply of the protocol is unknown.
+func (c *Client) Call(ctx context.Context, call effect.CallStore) event.StoreResult {
+	body, err := json.Marshal(RequestOf(call, watchWait(call)))
+	if err != nil {
+		return event.StoreResult{Operation: call.Operation, Status: event.StoreRejected}
+	}
+	result, connected, err := c.post(ctx, StorePath+VerbName(call.Verb), body)
+	if err != nil {
+		result = event.StoreResult{Status: lostStatus(connected)}
+	}
+	result.Operation = call.Operation
+	return result
+}
+
+// watchWait returns how long the service shall hold a watch.
+func watchWait(call effect.CallStore) time.Duration {
+	if call.Verb != effect.StoreWatch {
+		return 0
+	}
+	return max(call.Timeout/2, call.Timeout-watchMargin)
+}
+
+// lostStatus classifies a call without a reply.
+func lostStatus(connected bool) event.StoreStatus {
+	if connected {
+		return event.StoreUnknown
+	}
+	return event.StoreRejected
+}
+
+// post sends one request. It reports whether a connection was had, so that the
+// request may have been written.
+func (c *Client) post(ctx context.Context, path string, body []byte) (result event.StoreResult, connected bool, err error) {
+	var got atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return result, false, fmt.Errorf("platform %s: %w", path, err)
+	}
+	// Without GetBody the transport cannot send the request a second time.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return result, got.Load(), fmt.Errorf("platform %s: %w", path, err)
+	}
+	defer response.Body.Close()
+	status := storeStatus(response.StatusCode)
+	if status == event.StoreUnknown {
+		return result, true, &StatusError{Path: path, Status: response.StatusCode}
+	}
+	var reply StoreReply
+	if err := decode(response.Body, &reply); err != nil {
+		return result, true, fmt.Errorf("platform %s: %w", path, err)
+	}
+	return reply.result(status), true, nil
+}
+
+// Hosts implements HostLister.
+func (c *Client) Hosts(ctx context.Context) event.HostList {
+	reply, err := c.hosts(ctx)
+	if err != nil {
+		return event.HostList{Failed: true}
+	}
+	return event.HostList{Hosts: reply.Hosts, DrainingUpstreams: reply.DrainingUpstreams}
+}
+
+// hosts reads the host list.
+func (c *Client) hosts(ctx context.Context) (HostsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
+	defer cancel()
+	var reply HostsReply
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+HostsPath, nil)
+	if err != nil {
+		return reply, fmt.Errorf("platform host list: %w", err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return reply, fmt.Errorf("platform host list: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return reply, &StatusError{Path: HostsPath, Status: response.StatusCode}
+	}
+	if err := decode(response.Body, &reply); err != nil {
+		return reply, fmt.Errorf("platform host list: %w", err)
+	}
+	return reply, nil
+}
+
+// decode reads a bounded JSON body to its end, so that the connection can be
+// used again.
+func decode(body io.Reader, into any) error {
+	return json.NewDecoder(io.LimitReader(body, MaxBodyBytes)).Decode(into)
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,5 +1,6 @@
 // Package platform reaches what the platform gives: the key-value service that
-// holds the configuration, and the list of hosts.
+// holds the configuration, and the list of hosts. docs/PLATFORM.md describes the
+// protocol.
 package platform
 
 import (
