--- a/cmd/hawthorntack/main.go
+++ b/cmd/hawthorntack/main.go
@@ -45,6 +45,9 @@
 	parser := flags.NewNamedParser("hawthorntack", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "A query tier over many shards. Every flag can also be set by the environment variable that its help names."
 	for _, add := range []func(*flags.Parser, streams) error{
+		addNode,
+		addDemo,
+		addDump,
 		addVersion,
 	} {
 		if err := add(parser, std); err != nil {
--- /dev/null
+++ b/cmd/hawthorntack/node.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hawthorntack/hawthorntack/internal/daemon"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/platform"
+	"github.com/hawthorntack/hawthorntack/internal/reducer"
+)
+
+// nodeCommand runs one node.
+type nodeCommand struct {
+	std streams
+
+	Host          string `long:"host" env:"HAWTHORNTACK_HOST" required:"yes" description:"Name of this host, unique among the entry hosts"`
+	FailureDomain string `long:"failure-domain" env:"HAWTHORNTACK_FAILURE_DOMAIN" required:"yes" description:"Failure domain of this host"`
+	ListenCaller  string `long:"listen-caller" env:"HAWTHORNTACK_LISTEN_CALLER" default:"127.0.0.1:8080" description:"Address for callers"`
+	ListenPeer    string `long:"listen-peer" env:"HAWTHORNTACK_LISTEN_PEER" default:"127.0.0.1:8081" description:"Address for other nodes"`
+	ListenAdmin   string `long:"listen-admin" env:"HAWTHORNTACK_LISTEN_ADMIN" default:"127.0.0.1:8082" description:"Address for operators"`
+	Platform      string `long:"platform" env:"HAWTHORNTACK_PLATFORM" required:"yes" description:"Base URL of the platform's service, such as http://127.0.0.1:9400"`
+	BodyLimit     string `long:"body-limit" env:"HAWTHORNTACK_BODY_LIMIT" default:"1M" description:"Largest request body"`
+	Seed          uint64 `long:"seed" env:"HAWTHORNTACK_SEED" description:"Seed of the node's random decisions; 0 takes one from the clock"`
+
+	reducerSettings
+	logSettings
+}
+
+// reducerSettings are the policy settings of a node.
+type reducerSettings struct {
+	Dispatchers int           `long:"dispatchers" env:"HAWTHORNTACK_DISPATCHERS" default:"1" description:"Nodes that hold connections to one upstream"`
+	SubsetSize  int           `long:"subset-size" env:"HAWTHORNTACK_SUBSET_SIZE" default:"4" description:"Nodes that serve the callers of one service"`
+	EntryTTL    time.Duration `long:"entry-ttl" env:"HAWTHORNTACK_ENTRY_TTL" default:"5s" description:"How long a caller may keep an entry answer"`
+	StopGrace   time.Duration `long:"stop-grace" env:"HAWTHORNTACK_STOP_GRACE" default:"30s" description:"Longest time of a planned stop"`
+}
+
+// tune checks the settings and puts them into the reducer's.
+func (s reducerSettings) tune() (func(*reducer.Settings), error) {
+	switch {
+	case s.Dispatchers < 1:
+		return nil, &UsageError{Setting: "--dispatchers", Reason: "must be at least 1"}
+	case s.SubsetSize < 1:
+		return nil, &UsageError{Setting: "--subset-size", Reason: "must be at least 1"}
+	case s.EntryTTL <= 0:
+		return nil, &UsageError{Setting: "--entry-ttl", Reason: "must be over 0"}
+	case s.StopGrace <= s.EntryTTL:
+		return nil, &UsageError{Setting: "--stop-grace", Reason: "must be longer than --entry-ttl"}
+	}
+	return func(settings *reducer.Settings) {
+		settings.Entry.Dispatchers = s.Dispatchers
+		settings.Entry.SubsetSize = s.SubsetSize
+		settings.Entry.TTL = s.EntryTTL
+		settings.StopGrace = s.StopGrace
+	}, nil
+}
+
+// addNode adds the node subcommand.
+func addNode(parser *flags.Parser, std streams) error {
+	_, err := parser.AddCommand("node", "Run a node", "Runs one node on this host until SIGTERM. SIGUSR1 writes the state dump into the log.", &nodeCommand{std: std})
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *nodeCommand) Execute([]string) error {
+	log, err := c.logger(c.std.err)
+	if err != nil {
+		return err
+	}
+	options, err := c.options(log)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(options)
+	if err != nil {
+		return usageOf(err)
+	}
+	log.WithFields(logrus.Fields{
+		"component": "node", "host": c.Host, "caller": d.CallerAddress(), "peer": d.PeerAddress(), "admin": d.AdminAddress(),
+	}).Info("started")
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	go handleSignals(signals, d, log)
+	return d.Run(context.Background())
+}
+
+// options checks the settings; it returns *UsageError.
+func (c *nodeCommand) options(log *logrus.Logger) (daemon.Options, error) {
+	for _, a := range []struct{ setting, address string }{
+		{"--listen-caller", c.ListenCaller},
+		{"--listen-peer", c.ListenPeer},
+		{"--listen-admin", c.ListenAdmin},
+	} {
+		if err := checkAddress(a.setting, a.address); err != nil {
+			return daemon.Options{}, err
+		}
+	}
+	tune, err := c.tune()
+	if err != nil {
+		return daemon.Options{}, err
+	}
+	client := platform.NewClient(c.Platform)
+	return daemon.Options{
+		Host:          model.HostID(c.Host),
+		Incarnation:   daemon.NewIncarnation(),
+		FailureDomain: model.FailureDomain(c.FailureDomain),
+		ListenCaller:  c.ListenCaller,
+		ListenPeer:    c.ListenPeer,
+		ListenAdmin:   c.ListenAdmin,
+		BodyLimit:     c.BodyLimit,
+		Tune:          tune,
+		Store:         client,
+		Hosts:         client,
+		Log:           log,
+		Seed:          seedOr(c.Seed),
+	}, nil
+}
+
+// seedOr returns the seed, or one from the clock for zero.
+func seedOr(seed uint64) uint64 {
+	if seed != 0 {
+		return seed
+	}
+	return uint64(time.Now().UnixNano())
+}
+
+// handleSignals stops the node, or logs its state.
+func handleSignals(signals <-chan os.Signal, d *daemon.Daemon, log *logrus.Logger) {
+	for received := range signals {
+		if received != syscall.SIGUSR1 {
+			d.Stop()
+			continue
+		}
+		dump, err := d.Dump(context.Background())
+		if err != nil {
+			log.WithField("component", "node").WithError(err).Warn("no state dump")
+			continue
+		}
+		log.WithField("component", "node").WithField("state", string(dump)).Info("state dump")
+	}
+}
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -14,20 +14,23 @@
 	Members  []model.Member `json:"members"`
 	Revision model.Revision `json:"revision"`
 	Config   *model.Config  `json:"config"`
-	Timers   int            `json:"timers"`
-	InFlight int            `json:"in_flight"`
+	// KnownUpstreams is the number of upstreams with a report in the catalog.
+	KnownUpstreams int `json:"known_upstreams"`
+	Timers         int `json:"timers"`
+	InFlight       int `json:"in_flight"`
 }
 
 // dump encodes the state as JSON.
 func (s *State) dump(ctx *step.Context) []byte {
 	encoded, err := json.Marshal(Dump{
-		Self:     s.membership.Self(),
-		State:    string(s.lifecycle.state),
-		Members:  s.membership.Members(),
-		Revision: ctx.Config.Revision,
-		Config:   ctx.Config,
-		Timers:   s.timers.Len(),
-		InFlight: s.openRequests(),
+		Self:           s.membership.Self(),
+		State:          string(s.lifecycle.state),
+		Members:        s.membership.Members(),
+		Revision:       ctx.Config.Revision,
+		Config:         ctx.Config,
+		KnownUpstreams: s.catalog.Len(),
+		Timers:         s.timers.Len(),
+		InFlight:       s.openRequests(),
 	})
 	if err != nil {
 		return []byte(`{"error":"the state could not be encoded"}`)
--- a/internal/reducer/snapshot/catalog.go
+++ b/internal/reducer/snapshot/catalog.go
@@ -22,3 +22,6 @@
 func (c *Catalog) Report(upstream model.UpstreamID) (model.IndexReport, bool) {
 	return model.IndexReport{}, false
 }
+
+// Len returns the number of upstreams with a report.
+func (c *Catalog) Len() int { return 0 }
