--- a/internal/reducer/entry/entry.go
+++ b/internal/reducer/entry/entry.go
@@ -1,12 +1,13 @@
-// Package entry places work on nodes by weighted rendezvous hashing: which
-// nodes callers of a service should use, and which nodes dispatch for an
-// upstream. Placement is a hint computed from a view that may be stale; no
-// promise rests on it.
+// Package entry places work on nodes by rendezvous hashing: which nodes callers
+// of a service should use, and which nodes dispatch for an upstream. Placement
+// is a hint computed from a view that may be stale; no promise rests on it.
 package entry
 
 import (
+	"path"
 	"time"
 
+	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -32,21 +33,68 @@
 // State numbers the sessions that the node opens.
 type State struct {
 	settings Settings
+	// opened is the number of the last session that this node opened.
+	opened uint64
 }
 
 // New returns a state that has opened no session.
 func New(settings Settings) *State { return &State{settings: settings} }
 
-// HandleEntry answers a caller's question which addresses to use.
-func (s *State) HandleEntry(ctx *step.Context, e event.Entry) {}
+// Settings returns the settings in use.
+func (s *State) Settings() Settings { return s.settings }
 
-// Subset returns the nodes that serve the callers of a service, best first.
-func (s *State) Subset(service model.ServiceName, members []model.Member) []model.Member {
-	return nil
+// Opened returns the number of the last session that this node opened; zero if
+// there is none.
+func (s *State) Opened() uint64 { return s.opened }
+
+// HandleEntry answers a caller's question which addresses to use. A pattern is
+// placed by its own text, so that all callers of one pattern use the same nodes.
+func (s *State) HandleEntry(ctx *step.Context, e event.Entry) {
+	if !anyServiceMatches(ctx.Config, e.Service) {
+		ctx.Emit(effect.ReplyEntry{
+			Call:    e.Call,
+			Failure: model.Failf(model.CodeUnknownService, "no service matches %.100q", e.Service),
+		})
+		return
+	}
+	ctx.Emit(effect.ReplyEntry{
+		Call:      e.Call,
+		Addresses: addresses(s.Subset(model.ServiceName(e.Service), ctx.View.Members())),
+		TTL:       s.settings.TTL,
+		Session:   s.openSession(ctx),
+	})
+}
+
+// openSession names a new session with this node as its home. A leaving node
+// opens none: the caller gets its session from a node in the answer.
+func (s *State) openSession(ctx *step.Context) model.SessionID {
+	if ctx.Self.State == model.Leaving {
+		return model.SessionID{}
+	}
+	s.opened++
+	return model.SessionID{Host: ctx.Self.Host, Incarnation: ctx.Self.Incarnation, Number: s.opened}
+}
+
+// addresses returns what callers need of the members.
+func addresses(members []model.Member) []effect.EntryAddress {
+	out := make([]effect.EntryAddress, 0, len(members))
+	for _, m := range members {
+		out = append(out, effect.EntryAddress{
+			Address:       m.CallerAddress,
+			Host:          m.Host,
+			FailureDomain: m.FailureDomain,
+		})
+	}
+	return out
 }
 
-// Dispatchers returns the nodes that hold connections to an upstream, best
-// first.
-func (s *State) Dispatchers(upstream model.UpstreamID, members []model.Member) []model.HostID {
-	return nil
+// anyServiceMatches reports whether the pattern names a configured service.
+func anyServiceMatches(config *model.Config, pattern string) bool {
+	for i := range config.Services {
+		matched, err := path.Match(pattern, string(config.Services[i].Name))
+		if err == nil && matched {
+			return true
+		}
+	}
+	return false
 }
