--- /dev/null
+++ b/internal/reducer/quarantine/fingerprint_test.go
@@ -0,0 +1,13 @@
+package quarantine
+
+import "testing"
+
+func TestFingerprintSeparatesServiceAndContent(t *testing.T) {
+	if Fingerprint("ab", []byte("c")) == Fingerprint("a", []byte("bc")) {
+		t.Error("the boundary between service and content must count")
+	}
+	first, second := []byte("verse"), append([]byte("ver"), "se"...)
+	if Fingerprint("a", first) != Fingerprint("a", second) {
+		t.Error("equal requests must have equal fingerprints")
+	}
+}
