Messages of the session handover name the handover and the homes

Cause: an acknowledgement or SessionMoved of an earlier handover could not be told from the present one, and a successor could not know which session numbers the old home had issued, closed or let expire. Change: fields for the attempt, the generation, the homes' numbers, fingerprints of kept orders and hops of a forwarded order.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -127,6 +127,9 @@
 	TimeLeft  int64
 	// Acknowledged is the highest sequence number whose outcome the caller has.
 	Acknowledged uint64
+	// Hops counts the nodes that the order has passed, to end a loop of nodes
+	// with stale views.
+	Hops uint32
 }
 
 // OrderOutcome returns the outcome of a forwarded order.
@@ -139,6 +142,8 @@
 type KeptOutcome struct {
 	RequestID model.RequestID
 	Service   model.ServiceName
+	// Fingerprint tells a resend from another request under the same identifier.
+	Fingerprint model.Fingerprint
 	// Started means that the order may have run.
 	Started bool
 	// Done means that Answer is final.
@@ -153,31 +158,68 @@
 	// Part numbers the parts of a handover from one; Parts is their count.
 	Part  uint32
 	Parts uint32
+	// Attempt numbers the handovers that the stopping home has begun; a later one
+	// replaces an earlier one whole.
+	Attempt uint64
+	// Homes lists the homes whose sessions are handed over: the stopping one, and
+	// those that it took over itself. Every part carries all of them.
+	Homes []HandedHome
 	// Sessions lists the open sessions in this part with their highest
 	// acknowledged sequence numbers.
 	Sessions []HandedSession
 	Outcomes []KeptOutcome
 }
 
+// HandedHome is what a home has promised about the sessions that it numbered.
+type HandedHome struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+	// Generation counts the handovers of this home's sessions.
+	Generation uint64
+	// Issued is the highest session number given out.
+	Issued uint64
+	// Closed is the highest session number that takes no first order any more.
+	Closed uint64
+	// Aged is the highest session number that takes no new order any more.
+	Aged uint64
+	// Expired is the highest session number whose outcomes are not kept.
+	Expired uint64
+}
+
 // HandedSession is one session of a handover.
 type HandedSession struct {
 	Session      model.SessionID
 	Acknowledged uint64
 	// HighestSeen is the highest sequence number that the old home accepted.
 	HighestSeen uint64
-	Expires     int64
+	// Refused is the highest sequence number up to which orders without an
+	// outcome were refused and never start.
+	Refused uint64
+	Expires int64
 }
 
-// HandoverAck confirms one part of a handover.
+// HandoverAck confirms one part of a handover, or with part zero that the
+// successor answers for the sessions.
 type HandoverAck struct {
 	Part uint32
+	// From, Incarnation and Attempt name the handover.
+	From        model.HostID
+	Incarnation model.Incarnation
+	Attempt     uint64
 }
 
-// SessionMoved tells all nodes who answers for a stopped home's sessions.
+// SessionMoved tells all nodes who answers for a stopped home's sessions. Sent to
+// the successor itself it ends the handover: from then on the successor alone
+// may start the sessions' orders.
 type SessionMoved struct {
 	From        model.HostID
 	Incarnation model.Incarnation
 	To          model.HostID
+	// Generation counts the handovers of the home's sessions; news of an earlier
+	// one is ignored.
+	Generation uint64
+	// Attempt names the handover that ends, for the successor.
+	Attempt uint64
 }
 
 // Digest is a node's periodic description of itself and what it knows.
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -31,12 +31,19 @@
 	case *peerpb.Frame_SessionHandover:
 		return decodeHandover(m.SessionHandover), nil
 	case *peerpb.Frame_HandoverAck:
-		return message.HandoverAck{Part: m.HandoverAck.GetPart()}, nil
+		return message.HandoverAck{
+			Part:        m.HandoverAck.GetPart(),
+			From:        model.HostID(m.HandoverAck.GetFrom()),
+			Incarnation: model.Incarnation(m.HandoverAck.GetIncarnation()),
+			Attempt:     m.HandoverAck.GetAttempt(),
+		}, nil
 	case *peerpb.Frame_SessionMoved:
 		return message.SessionMoved{
 			From:        model.HostID(m.SessionMoved.GetFrom()),
 			Incarnation: model.Incarnation(m.SessionMoved.GetIncarnation()),
 			To:          model.HostID(m.SessionMoved.GetTo()),
+			Generation:  m.SessionMoved.GetGeneration(),
+			Attempt:     m.SessionMoved.GetAttempt(),
 		}, nil
 	case *peerpb.Frame_Digest:
 		return decodeDigest(m.Digest), nil
@@ -158,6 +165,7 @@
 		Body:         m.GetBody(),
 		TimeLeft:     m.GetTimeLeftNanos(),
 		Acknowledged: m.GetAcknowledged(),
+		Hops:         m.GetHops(),
 	}
 }
 
@@ -187,12 +195,25 @@
 		Incarnation: model.Incarnation(m.GetIncarnation()),
 		Part:        m.GetPart(),
 		Parts:       m.GetParts(),
+		Attempt:     m.GetAttempt(),
+	}
+	for _, h := range m.GetHomes() {
+		out.Homes = append(out.Homes, message.HandedHome{
+			Host:        model.HostID(h.GetHost()),
+			Incarnation: model.Incarnation(h.GetIncarnation()),
+			Generation:  h.GetGeneration(),
+			Issued:      h.GetIssued(),
+			Closed:      h.GetClosed(),
+			Aged:        h.GetAged(),
+			Expired:     h.GetExpired(),
+		})
 	}
 	for _, s := range m.GetSessions() {
 		out.Sessions = append(out.Sessions, message.HandedSession{
 			Session:      model.SessionID(decodeAttempt(s.GetSession())),
 			Acknowledged: s.GetAcknowledged(),
 			HighestSeen:  s.GetHighestSeen(),
+			Refused:      s.GetRefused(),
 			Expires:      s.GetExpires(),
 		})
 	}
@@ -202,7 +223,9 @@
 			Service:   model.ServiceName(o.GetService()),
 			Started:   o.GetStarted(),
 			Done:      o.GetDone(),
-			Answer:    decodeAnswer(o.GetAnswer()),
+
+			Fingerprint: model.Fingerprint(o.GetFingerprint()),
+			Answer:      decodeAnswer(o.GetAnswer()),
 		})
 	}
 	return out
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -37,10 +37,13 @@
 	case message.SessionHandover:
 		frame.Message = &peerpb.Frame_SessionHandover{SessionHandover: encodeHandover(m)}
 	case message.HandoverAck:
-		frame.Message = &peerpb.Frame_HandoverAck{HandoverAck: &peerpb.HandoverAck{Part: m.Part}}
+		frame.Message = &peerpb.Frame_HandoverAck{HandoverAck: &peerpb.HandoverAck{
+			Part: m.Part, From: string(m.From), Incarnation: uint64(m.Incarnation), Attempt: m.Attempt,
+		}}
 	case message.SessionMoved:
 		frame.Message = &peerpb.Frame_SessionMoved{SessionMoved: &peerpb.SessionMoved{
 			From: string(m.From), Incarnation: uint64(m.Incarnation), To: string(m.To),
+			Generation: m.Generation, Attempt: m.Attempt,
 		}}
 	case message.Digest:
 		frame.Message = &peerpb.Frame_Digest{Digest: encodeDigest(m)}
@@ -162,6 +165,7 @@
 		Body:          m.Body,
 		TimeLeftNanos: m.TimeLeft,
 		Acknowledged:  m.Acknowledged,
+		Hops:          m.Hops,
 	}
 }
 
@@ -188,12 +192,25 @@
 func encodeHandover(m message.SessionHandover) *peerpb.SessionHandover {
 	out := &peerpb.SessionHandover{
 		From: string(m.From), Incarnation: uint64(m.Incarnation), Part: m.Part, Parts: m.Parts,
+		Attempt: m.Attempt,
+	}
+	for _, h := range m.Homes {
+		out.Homes = append(out.Homes, &peerpb.HandedHome{
+			Host:        string(h.Host),
+			Incarnation: uint64(h.Incarnation),
+			Generation:  h.Generation,
+			Issued:      h.Issued,
+			Closed:      h.Closed,
+			Aged:        h.Aged,
+			Expired:     h.Expired,
+		})
 	}
 	for _, s := range m.Sessions {
 		out.Sessions = append(out.Sessions, &peerpb.HandedSession{
 			Session:      encodeAttempt(model.AttemptID(s.Session)),
 			Acknowledged: s.Acknowledged,
 			HighestSeen:  s.HighestSeen,
+			Refused:      s.Refused,
 			Expires:      s.Expires,
 		})
 	}
@@ -204,6 +221,8 @@
 			Started:   o.Started,
 			Done:      o.Done,
 			Answer:    encodeAnswer(o.Answer),
+
+			Fingerprint: uint64(o.Fingerprint),
 		})
 	}
 	return out
