Language: expected words in errors, differences, visibility, permission

Cause: the parser's own messages name grammar rules, not words; an address check over all upstreams cost each change a map of the whole configuration. Change: on a syntax error each fixed word is tried at the place, and those the parser takes are reported; durations of convictions become times; Permit and Visible limit an operator to its user; Diff for dry runs; address check over changed services only; rapid round trip, fuzz target, tables of refusals.

--- a/internal/reducer/show/show.go
+++ b/internal/reducer/show/show.go
@@ -13,66 +13,56 @@
 // user owns, if it is limited to one.
 func Answer(ctx *step.Context, operator model.OperatorName, questions []statement.Question) effect.StatementResult {
 	result := effect.StatementResult{Outcome: effect.Shown, Revision: ctx.Config.Revision}
-	user := userOf(ctx.Config, operator)
+	config := statement.Visible(ctx.Config, operator)
 	for _, question := range questions {
-		if failure := answer(ctx, user, question, &result); failure != nil {
+		if failure := answer(config, question, &result); failure != nil {
 			return effect.StatementResult{Outcome: effect.NotAccepted, Failure: failure}
 		}
 	}
 	return result
 }
 
-// userOf returns the user that an operator is limited to; empty means all.
-func userOf(config *model.Config, operator model.OperatorName) model.UserID {
-	for i := range config.Operators {
-		if config.Operators[i].Name == operator {
-			return config.Operators[i].User
-		}
-	}
-	return ""
-}
-
 // answer adds the answer to one question.
-func answer(ctx *step.Context, user model.UserID, question statement.Question, result *effect.StatementResult) *model.Failure {
+func answer(config *model.Config, question statement.Question, result *effect.StatementResult) *model.Failure {
 	show, ok := question.(*statement.Show)
 	if !ok {
 		return model.Failf(model.CodeInvalid, "this question has no answer yet")
 	}
 	if show.Subject == statement.Config {
-		result.Text += statement.PrintPublic(ctx.Config)
+		result.Text += statement.PrintPublic(config)
 		return nil
 	}
-	table, failure := configTable(ctx.Config, show, user)
+	table, failure := configTable(config, show)
 	if failure != nil {
 		return failure
 	}
-	selected, failure := show.Where.Select(table)
-	if failure != nil {
-		return failure
+	selected, problem := show.Where.Select(table)
+	if problem != nil {
+		return problem.Failure()
 	}
 	result.Tables = append(result.Tables, selected)
 	return nil
 }
 
 // configTable returns a table of the configuration.
-func configTable(config *model.Config, show *statement.Show, user model.UserID) (model.Table, *model.Failure) {
+func configTable(config *model.Config, show *statement.Show) (model.Table, *model.Failure) {
 	var pattern statement.Pattern
 	if show.Name != nil {
 		pattern = *show.Name
 	}
 	switch show.Subject {
 	case statement.Services:
-		return statement.ServiceTable(config, pattern, user), nil
+		return statement.ServiceTable(config, pattern), nil
 	case statement.Upstreams:
-		return statement.UpstreamTable(config, pattern, user), nil
+		return statement.UpstreamTable(config, pattern), nil
 	case statement.Users:
-		return statement.UserTable(config, pattern, user), nil
+		return statement.UserTable(config, pattern), nil
 	case statement.Operators:
-		return statement.OperatorTable(config, pattern, user), nil
+		return statement.OperatorTable(config, pattern), nil
 	case statement.Limits:
-		return statement.LimitTable(config, pattern, user), nil
+		return statement.LimitTable(config, pattern), nil
 	case statement.Convictions:
-		return statement.ConvictionTable(config, pattern, user), nil
+		return statement.ConvictionTable(config, pattern), nil
 	default:
 		return model.Table{}, model.Failf(model.CodeInvalid, "show %s has no answer yet", show.Subject)
 	}
--- a/internal/statement/apply.go
+++ b/internal/statement/apply.go
@@ -57,8 +57,13 @@
 
 // failAt notes a problem.
 func (e *editor) failAt(position Position, rule Rule, format string, arguments ...any) {
+	e.add(&Problem{Position: position, Rule: rule, Detail: fmt.Sprintf(format, arguments...)})
+}
+
+// add notes a problem.
+func (e *editor) add(problem *Problem) {
 	if len(e.problems) < maxProblems {
-		e.problems = append(e.problems, &Problem{Position: position, Rule: rule, Detail: fmt.Sprintf(format, arguments...)})
+		e.problems = append(e.problems, problem)
 	}
 }
 
--- a/internal/statement/apply_service.go
+++ b/internal/statement/apply_service.go
@@ -71,9 +71,9 @@
 // matchServices returns the services that meet a pattern and conditions; none is
 // a problem.
 func (e *editor) matchServices(pattern Pattern, where *Where) []model.ServiceName {
-	table, failure := where.Select(ServiceTable(e.config, pattern, ""))
-	if failure != nil {
-		e.problems = append(e.problems, &Problem{Rule: RuleUnknown, Detail: failure.Message})
+	table, problem := where.Select(ServiceTable(e.config, pattern))
+	if problem != nil {
+		e.add(problem)
 		return nil
 	}
 	var names []model.ServiceName
@@ -251,9 +251,9 @@
 // matchUpstreams returns the upstreams that meet a pattern and conditions; none
 // is a problem.
 func (e *editor) matchUpstreams(pattern Pattern, where *Where) []model.UpstreamID {
-	table, failure := where.Select(UpstreamTable(e.config, pattern, ""))
-	if failure != nil {
-		e.problems = append(e.problems, &Problem{Rule: RuleUnknown, Detail: failure.Message})
+	table, problem := where.Select(UpstreamTable(e.config, pattern))
+	if problem != nil {
+		e.add(problem)
 		return nil
 	}
 	var ids []model.UpstreamID
--- a/internal/statement/grammar.go
+++ b/internal/statement/grammar.go
@@ -64,7 +64,7 @@
 type AlterUser struct {
 	Pos     lexer.Position
 	Name    Name          `parser:"@Word 'set'"`
-	Options []*UserOption `parser:"@@+"`
+	Options []*UserOption `parser:"@@ @@*"`
 }
 
 // DropUser removes a user that owns nothing.
@@ -95,7 +95,7 @@
 	Pos     lexer.Position
 	Pattern Pattern          `parser:"@Word"`
 	Where   *Where           `parser:"( 'where' @@ )?"`
-	Options []*ServiceOption `parser:"'set' @@+"`
+	Options []*ServiceOption `parser:"'set' @@ @@*"`
 }
 
 // DropService removes services with their upstreams.
@@ -135,14 +135,14 @@
 type NewUpstream struct {
 	Pos     lexer.Position
 	Name    Name              `parser:"@Word"`
-	Options []*UpstreamOption `parser:"@@+"`
+	Options []*UpstreamOption `parser:"@@ @@*"`
 }
 
 // CreateUpstream adds an upstream to a service.
 type CreateUpstream struct {
 	Pos     lexer.Position
 	Name    UpstreamName      `parser:"@Word"`
-	Options []*UpstreamOption `parser:"@@+"`
+	Options []*UpstreamOption `parser:"@@ @@*"`
 }
 
 // AlterUpstream changes the upstreams that a pattern and conditions match.
@@ -150,7 +150,7 @@
 	Pos     lexer.Position
 	Pattern Pattern           `parser:"@Word"`
 	Where   *Where            `parser:"( 'where' @@ )?"`
-	Options []*UpstreamOption `parser:"'set' @@+"`
+	Options []*UpstreamOption `parser:"'set' @@ @@*"`
 }
 
 // DropUpstream removes upstreams.
@@ -204,6 +204,7 @@
 
 // Convict refuses a request content that crashes upstreams.
 type Convict struct {
+	Tokens      []lexer.Token
 	Pos         lexer.Position
 	Service     Name        `parser:"@Word"`
 	Fingerprint Fingerprint `parser:"'fingerprint' @Word"`
@@ -241,7 +242,7 @@
 // Condition compares a column with a value.
 type Condition struct {
 	Pos    lexer.Position
-	Column string   `parser:"@Word"`
+	Column Column   `parser:"@Word"`
 	Test   Operator `parser:"@( Comparison | 'like' )"`
 	Value  Value    `parser:"@( Word | Text )"`
 }
--- a/internal/statement/lexer.go
+++ b/internal/statement/lexer.go
@@ -1,6 +1,7 @@
 package statement
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/alecthomas/participle/v2/lexer"
@@ -33,10 +34,12 @@
 
 // The token types behind the classes.
 var (
-	tokenComment   = definition.Symbols()[classComment]
-	tokenSpace     = definition.Symbols()[classSpace]
-	tokenWord      = definition.Symbols()[classWord]
-	tokenSemicolon = definition.Symbols()[classSemicolon]
+	tokenComment    = definition.Symbols()[classComment]
+	tokenSpace      = definition.Symbols()[classSpace]
+	tokenWord       = definition.Symbols()[classWord]
+	tokenSemicolon  = definition.Symbols()[classSemicolon]
+	tokenComparison = definition.Symbols()[classComparison]
+	tokenText       = definition.Symbols()[classText]
 )
 
 // isStarter reports whether a word starts a statement when it is the first of
@@ -55,11 +58,11 @@
 func split(text string) ([][]lexer.Token, error) {
 	lexed, err := definition.LexString("", text)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("split the text: %w", err)
 	}
 	tokens, err := lexer.ConsumeAll(lexed)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("split the text: %w", err)
 	}
 	var statements [][]lexer.Token
 	var current []lexer.Token
--- a/internal/statement/parse.go
+++ b/internal/statement/parse.go
@@ -8,9 +8,10 @@
 
 // Limits of a text.
 const (
-	// maxTextLength bounds a text, in bytes, so that it fits into one entry of
-	// the configuration log.
-	maxTextLength = 512 << 10
+	// maxTextLength bounds a text, in bytes: it leaves room for the whole
+	// configuration of many thousands of upstreams. The administration API and
+	// the configuration log have lower bounds of their own.
+	maxTextLength = 32 << 20
 	// maxProblems bounds what is reported of one text.
 	maxProblems = 100
 )
@@ -18,11 +19,11 @@
 // ParseAll reads a text and reports all syntax problems, ordered by place.
 func ParseAll(text string) (Script, []*Problem) {
 	if len(text) > maxTextLength {
-		return Script{}, []*Problem{{Rule: RuleSize, Detail: "the text is longer than 512 KiB"}}
+		return Script{}, []*Problem{{Rule: RuleSize, Detail: "the text is longer than 32 MiB"}}
 	}
 	statements, err := split(text)
 	if err != nil {
-		return Script{}, []*Problem{syntaxProblem(err)}
+		return Script{}, []*Problem{syntaxProblem(err, nil)}
 	}
 	if len(statements) == 0 {
 		return Script{}, []*Problem{{Rule: RuleSyntax, Position: Position{Line: 1, Column: 1}, Found: "no statement", Expected: "create, alter, drop, drain, undrain, rotate, convict, pardon, show or explain"}}
@@ -42,11 +43,11 @@
 func (s *Script) read(tokens []lexer.Token) *Problem {
 	peeking, err := lexer.Upgrade(&tokenList{tokens: tokens})
 	if err != nil {
-		return syntaxProblem(err)
+		return syntaxProblem(err, tokens)
 	}
 	parsed, err := parser.ParseFromLexer(peeking)
 	if err != nil {
-		return syntaxProblem(err)
+		return syntaxProblem(err, tokens)
 	}
 	return s.add(parsed)
 }
--- a/internal/statement/print.go
+++ b/internal/statement/print.go
@@ -7,31 +7,77 @@
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
+// block is the printed form of one object of a configuration.
+type block struct {
+	// key names the object, such as "service counter-1".
+	key  string
+	text string
+}
+
 // Print returns statements that make the configuration from an empty one. They
 // hold the operators' key hashes: PrintPublic leaves those out.
-func Print(config *model.Config) string {
+func Print(config *model.Config) string { return join(blocks(config, printOperator)) }
+
+// PrintPublic is Print with comments in place of the operators, for people.
+func PrintPublic(config *model.Config) string { return join(blocks(config, printOperatorName)) }
+
+// join concatenates the texts of blocks.
+func join(blocks []block) string {
 	var text strings.Builder
-	printUsers(&text, config)
-	printServices(&text, config)
-	for _, operator := range config.Operators {
-		fmt.Fprintf(&text, "create operator %s%s key hash '%s'\n", operator.Name, forUser(operator), operator.KeyHash)
+	for _, b := range blocks {
+		text.WriteString(b.text)
 	}
-	printRest(&text, config)
 	return text.String()
 }
 
-// PrintPublic is Print with comments in place of the operators, for people.
-func PrintPublic(config *model.Config) string {
+// blocks prints each object, in an order in which they can be created.
+func blocks(config *model.Config, operator func(model.Operator) string) []block {
+	var printed []block
+	for _, user := range config.Users {
+		printed = append(printed, block{"user " + string(user.ID), printUser(user)})
+	}
+	for i := range config.Services {
+		service := &config.Services[i]
+		printed = append(printed, block{"service " + string(service.Name), printService(service)})
+	}
+	for _, o := range config.Operators {
+		printed = append(printed, block{"operator " + string(o.Name), operator(o)})
+	}
+	for _, conviction := range config.Convictions {
+		key := fmt.Sprintf("conviction %s %s", conviction.Service, Fingerprint(conviction.Fingerprint))
+		printed = append(printed, block{key, printConviction(conviction)})
+	}
+	for _, host := range config.LeavingHosts {
+		printed = append(printed, block{"host " + string(host), fmt.Sprintf("drain host %s\n", host)})
+	}
+	return printed
+}
+
+// printUser prints a user.
+func printUser(user model.User) string {
 	var text strings.Builder
-	printUsers(&text, config)
-	printServices(&text, config)
-	for _, operator := range config.Operators {
-		fmt.Fprintf(&text, "-- operator %s%s\n", operator.Name, forUser(operator))
+	fmt.Fprintf(&text, "create user %s weight %d", user.ID, user.Weight)
+	if user.RequestsPerSecond != 0 {
+		fmt.Fprintf(&text, " rate %s", Rate(user.RequestsPerSecond))
 	}
-	printRest(&text, config)
+	if user.InFlight != 0 {
+		fmt.Fprintf(&text, " in flight %d", user.InFlight)
+	}
+	text.WriteByte('\n')
 	return text.String()
 }
 
+// printOperator prints an operator with the hash of its key.
+func printOperator(operator model.Operator) string {
+	return fmt.Sprintf("create operator %s%s key hash '%s'\n", operator.Name, forUser(operator), operator.KeyHash)
+}
+
+// printOperatorName prints an operator as a comment. A mark of the hash shows
+// in a difference that the key was rotated.
+func printOperatorName(operator model.Operator) string {
+	return fmt.Sprintf("-- operator %s%s, key %s\n", operator.Name, forUser(operator), keyMark(operator.KeyHash))
+}
+
 // forUser returns the limit of an operator as the language states it.
 func forUser(operator model.Operator) string {
 	if operator.User == "" {
@@ -40,42 +86,27 @@
 	return " for " + string(operator.User)
 }
 
-// printUsers prints the users.
-func printUsers(text *strings.Builder, config *model.Config) {
-	for _, user := range config.Users {
-		fmt.Fprintf(text, "create user %s weight %d", user.ID, user.Weight)
-		if user.RequestsPerSecond != 0 {
-			fmt.Fprintf(text, " rate %s", Rate(user.RequestsPerSecond))
-		}
-		if user.InFlight != 0 {
-			fmt.Fprintf(text, " in flight %d", user.InFlight)
-		}
-		text.WriteByte('\n')
-	}
-}
-
-// printServices prints the services with their upstreams.
-func printServices(text *strings.Builder, config *model.Config) {
-	for i := range config.Services {
-		service := &config.Services[i]
-		fmt.Fprintf(text, "create service %s for %s\n", service.Name, service.User)
-		printPolicy(text, &service.Policy)
-		for j := range service.Upstreams {
-			printUpstream(text, &service.Upstreams[j])
-		}
+// printService prints a service with its upstreams.
+func printService(service *model.Service) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "create service %s for %s\n", service.Name, service.User)
+	printPolicy(&text, &service.Policy)
+	for i := range service.Upstreams {
+		printUpstream(&text, &service.Upstreams[i])
 	}
+	return text.String()
 }
 
 // printPolicy prints every setting of a policy.
 func printPolicy(text *strings.Builder, policy *model.Policy) {
 	answer := "answer at deadline"
 	if policy.AnswerBy != 0 {
-		answer = "answer by " + policy.AnswerBy.String()
+		answer = "answer by " + Duration(policy.AnswerBy).String()
 	}
-	fmt.Fprintf(text, "  %s deadline %s coverage at least %s\n", answer, policy.Deadline, Percent(policy.LeastCoverage))
+	fmt.Fprintf(text, "  %s deadline %s coverage at least %s\n", answer, Duration(policy.Deadline), Percent(policy.LeastCoverage))
 	fmt.Fprintf(text, "  repeat %s hedge budget %s retry budget %s\n",
 		YesNo(policy.Repeatable), Percent(policy.HedgeBudget), Percent(policy.RetryBudget))
-	fmt.Fprintf(text, "  refuse queue %d wait %s", policy.QueueLimit, policy.QueueWait)
+	fmt.Fprintf(text, "  refuse queue %d wait %s", policy.QueueLimit, Duration(policy.QueueWait))
 	if policy.RequestsPerSecond != 0 {
 		fmt.Fprintf(text, " rate %s", Rate(policy.RequestsPerSecond))
 	}
@@ -96,16 +127,11 @@
 	text.WriteByte('\n')
 }
 
-// printRest prints convictions and leaving hosts.
-func printRest(text *strings.Builder, config *model.Config) {
-	for _, conviction := range config.Convictions {
-		fmt.Fprintf(text, "convict %s fingerprint %s", conviction.Service, Fingerprint(conviction.Fingerprint))
-		if conviction.Until != 0 {
-			fmt.Fprintf(text, " until %s", Time(conviction.Until))
-		}
-		text.WriteByte('\n')
-	}
-	for _, host := range config.LeavingHosts {
-		fmt.Fprintf(text, "drain host %s\n", host)
+// printConviction prints a conviction.
+func printConviction(conviction model.Conviction) string {
+	until := ""
+	if conviction.Until != 0 {
+		until = " until " + Time(conviction.Until).String()
 	}
+	return fmt.Sprintf("convict %s fingerprint %s%s\n", conviction.Service, Fingerprint(conviction.Fingerprint), until)
 }
--- a/internal/statement/problem.go
+++ b/internal/statement/problem.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/alecthomas/participle/v2"
@@ -87,23 +88,24 @@
 	return model.Failf(code, "%s", p.Error())
 }
 
-// syntaxProblem converts an error of the parser.
-func syntaxProblem(err error) *Problem {
-	problem := &Problem{Rule: RuleSyntax}
+// syntaxProblem converts an error of the parser on a statement's tokens.
+func syntaxProblem(err error, tokens []lexer.Token) *Problem {
+	problem := &Problem{Rule: RuleSyntax, Found: err.Error()}
 	var located participle.Error
-	if errors.As(err, &located) {
-		problem.Position = position(located.Position())
-		problem.Found = located.Message()
+	if !errors.As(err, &located) {
+		return problem
 	}
+	problem.Position = position(located.Position())
+	problem.Found = located.Message()
 	var value *ValueError
 	var unexpected *participle.UnexpectedTokenError
 	switch {
 	case errors.As(err, &value):
-		problem.Found = fmt.Sprintf("%q", value.Found)
+		problem.Found = strconv.Quote(value.Found)
 		problem.Expected = value.Expected
 	case errors.As(err, &unexpected):
 		problem.Found = describeToken(unexpected.Unexpected)
-		problem.Expected = expectation(unexpected.Message())
+		problem.Expected = expected(tokens, unexpected.Unexpected.Pos)
 	}
 	return problem
 }
@@ -113,14 +115,5 @@
 	if token.EOF() {
 		return "the end of the statement"
 	}
-	return fmt.Sprintf("%q", token.Value)
-}
-
-// expectation takes what was expected out of the parser's message.
-func expectation(message string) string {
-	_, expected, found := strings.Cut(message, "(expected ")
-	if !found {
-		return "the end of the statement"
-	}
-	return strings.TrimSuffix(expected, ")")
+	return strconv.Quote(token.Value)
 }
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -1,43 +1,179 @@
 package statement
 
 import (
+	"fmt"
+	"reflect"
+	"slices"
 	"testing"
+	"time"
+
+	"pgregory.net/rapid"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
-const example = `
--- the search front
-create user aranguiz weight 2 rate 100.5 in flight 7
-create service counter-1 for aranguiz
-  answer by 80ms deadline 200ms coverage at least 90%
-  repeat yes hedge budget 5% retry budget 10%
-  refuse queue 64 wait 40ms
-  upstream c1a at 127.0.0.1:9001 in santiago-1 slots 2 connections 25
-  upstream c1b at [::1]:9002 in santiago-2 shard s2 slots 2 connections 25 draining
-create service print-room for aranguiz repeat no
-  upstream p1 at 127.0.0.1:9003 in santiago-1 slots 3 connections 110
-drain host entry-1; convict counter-1 fingerprint 00ff until 2026-01-31T18:00:00Z
-`
-
-func TestPrintedConfigurationParsesBack(t *testing.T) {
-	config := mustApply(t, &model.Config{}, example)
-	printed := Print(config)
-	again := mustApply(t, &model.Config{}, printed)
-	if Print(again) != printed {
-		t.Fatalf("printed\n%s\nparsed back to\n%s", printed, Print(again))
-	}
-}
-
-func mustApply(t *testing.T, config *model.Config, text string) *model.Config {
+// mustApply applies a text.
+func mustApply(t testing.TB, config *model.Config, text string) *model.Config {
 	t.Helper()
 	script, failure := Parse(text)
 	if failure != nil {
-		t.Fatalf("Parse: %v", failure)
+		t.Fatalf("parse: %v", failure)
 	}
 	changed, failure := Apply(config, script.Changes)
 	if failure != nil {
-		t.Fatalf("Apply: %v", failure)
+		t.Fatalf("apply: %v", failure)
 	}
 	return changed
 }
+
+// checkRoundTrip fails unless a printed configuration makes itself again.
+func checkRoundTrip(t interface{ Fatalf(string, ...any) }, config *model.Config) {
+	printed := Print(config)
+	if printed == "" {
+		return
+	}
+	script, failure := Parse(printed)
+	if failure != nil {
+		t.Fatalf("the printed configuration does not parse: %v\n%s", failure, printed)
+	}
+	again, failure := Apply(&model.Config{Revision: config.Revision}, script.Changes)
+	if failure != nil {
+		t.Fatalf("the printed configuration does not apply: %v\n%s", failure, printed)
+	}
+	if Print(again) != printed {
+		t.Fatalf("printed\n%s\nmakes\n%s", printed, Print(again))
+	}
+}
+
+func TestPrintedConfigurationMakesItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := drawConfig(t)
+		script, failure := Parse(Print(config))
+		if failure != nil {
+			t.Fatalf("parse: %v\n%s", failure, Print(config))
+		}
+		again, failure := Apply(&model.Config{}, script.Changes)
+		if failure != nil {
+			t.Fatalf("apply: %v\n%s", failure, Print(config))
+		}
+		if !reflect.DeepEqual(config, again) {
+			t.Fatalf("drawn %+v\nmade  %+v", config, again)
+		}
+	})
+}
+
+// drawConfig draws a valid configuration in its sorted form. Names are drawn
+// from words of the language too.
+func drawConfig(t *rapid.T) *model.Config {
+	name := rapid.OneOf(rapid.StringMatching(`[a-z0-9][a-zA-Z0-9_.]{0,6}(-[a-z0-9]{1,4})?`), rapid.SampledFrom(keywords))
+	names := rapid.SliceOfNDistinct(name, 1, 6, rapid.ID[string])
+	config := &model.Config{}
+	for _, n := range sorted(names.Draw(t, "users")) {
+		config.Users = append(config.Users, model.User{
+			ID:                model.UserID(n),
+			Weight:            rapid.IntRange(1, maxCount).Draw(t, "weight"),
+			RequestsPerSecond: rapid.OneOf(rapid.Just(0.0), rapid.Float64Range(1e-3, maxRate)).Draw(t, "rate"),
+			InFlight:          rapid.IntRange(0, maxCount).Draw(t, "in flight"),
+		})
+	}
+	address := 0
+	for _, n := range sorted(names.Draw(t, "services")) {
+		service := model.Service{Name: model.ServiceName(n), User: rapid.SampledFrom(config.Users).Draw(t, "owner").ID, Policy: drawPolicy(t)}
+		for _, u := range sorted(names.Draw(t, "upstreams")) {
+			address++
+			slots := rapid.IntRange(1, maxCount).Draw(t, "slots")
+			service.Upstreams = append(service.Upstreams, model.Upstream{
+				ID:            model.UpstreamID(n + "/" + u),
+				Address:       fmt.Sprintf("10.0.0.1:%d", address),
+				FailureDomain: model.FailureDomain(name.Draw(t, "domain")),
+				Shard:         model.ShardID(rapid.OneOf(rapid.Just(""), name).Draw(t, "shard")),
+				Slots:         slots,
+				Connections:   rapid.IntRange(slots, maxCount).Draw(t, "connections"),
+				Draining:      rapid.Bool().Draw(t, "draining"),
+			})
+		}
+		config.Services = append(config.Services, service)
+	}
+	for _, n := range sorted(names.Draw(t, "hosts")) {
+		config.LeavingHosts = append(config.LeavingHosts, model.HostID(n))
+	}
+	for _, service := range config.Services {
+		config.Convictions = append(config.Convictions, model.Conviction{
+			Service:     service.Name,
+			Fingerprint: model.Fingerprint(rapid.Uint64().Draw(t, "fingerprint")),
+			Until:       model.Instant(rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(1<<60, 1<<61)).Draw(t, "until")),
+		})
+		config.Operators = append(config.Operators, model.Operator{
+			Name: model.OperatorName(service.Name), User: service.User, KeyHash: hash[1 : len(hash)-1],
+		})
+	}
+	return config
+}
+
+// drawPolicy draws a valid policy.
+func drawPolicy(t *rapid.T) model.Policy {
+	duration := func(least, most time.Duration) time.Duration {
+		return time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, "duration"))
+	}
+	percent := func() model.Percent { return model.Percent(rapid.Float64Range(0, 100).Draw(t, "percent")) }
+	policy := model.Policy{
+		Deadline:          duration(1, time.Hour),
+		LeastCoverage:     percent(),
+		Repeatable:        rapid.Bool().Draw(t, "repeatable"),
+		QueueLimit:        rapid.IntRange(0, maxCount).Draw(t, "queue"),
+		RequestsPerSecond: rapid.OneOf(rapid.Just(0.0), rapid.Float64Range(1e-3, maxRate)).Draw(t, "rate"),
+	}
+	policy.AnswerBy = duration(0, policy.Deadline)
+	policy.QueueWait = duration(0, policy.Deadline)
+	if policy.Repeatable {
+		policy.HedgeBudget, policy.RetryBudget = percent(), percent()
+	}
+	return policy
+}
+
+// sorted sorts drawn names.
+func sorted(names []string) []string {
+	slices.Sort(names)
+	return names
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(base)
+	f.Add("alter service * where user = a and rate < 5 set answer at deadline refuse queue 3 wait 2ms if revision 41")
+	f.Add("drain upstream one/u; undrain host 'h'\nconvict one fingerprint ff for 10m")
+	f.Add("show upstreams one/* where state like d*; explain one")
+	f.Add("rotate operator anna key hash " + hash + " -- comment\n;;pardon one fingerprint 0")
+	config := mustApply(f, &model.Config{}, base)
+	f.Fuzz(func(t *testing.T, text string) {
+		script, problems := ParseAll(text)
+		if len(problems) > 0 {
+			return
+		}
+		_, resolved := Resolve(text, script, 1<<60)
+		changed, failure := Apply(config, resolved.Changes)
+		if failure == nil {
+			checkRoundTrip(t, changed)
+		}
+	})
+}
+
+func BenchmarkApplyAtTheTarget(b *testing.B) {
+	text := "create user a\n"
+	for service := range 1400 {
+		text += fmt.Sprintf("create service s%d for a\n", service)
+		for upstream := range 10 {
+			text += fmt.Sprintf("upstream u%d at 10.%d.%d.%d:80 in d slots 3 connections 40\n", upstream, service/250, service%250, upstream)
+		}
+	}
+	start := time.Now()
+	config := mustApply(b, &model.Config{}, text)
+	b.Logf("%d bytes parsed and applied in %s", len(text), time.Since(start))
+	script, _ := Parse("alter service s700 set rate 5")
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, failure := Apply(config, script.Changes); failure != nil {
+			b.Fatal(failure)
+		}
+	}
+}
--- a/internal/statement/tables.go
+++ b/internal/statement/tables.go
@@ -13,27 +13,21 @@
 // matches reports whether an optional pattern matches.
 func (p Pattern) matches(name string) bool { return p == "" || p == all || p.Match(name) }
 
-// ServiceTable lists services. The user limits it to one user's; empty means
-// all.
-func ServiceTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+// ServiceTable lists services.
+func ServiceTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{
 		"service", "user", "upstreams", "draining", "answer_by", "deadline", "coverage",
 		"repeat", "hedge_budget", "retry_budget", "queue", "wait", "rate",
 	}, Rows: [][]string{}}
 	for i := range config.Services {
 		service := &config.Services[i]
-		if pattern.matches(string(service.Name)) && isVisible(service, user) {
+		if pattern.matches(string(service.Name)) {
 			table.Rows = append(table.Rows, serviceRow(service))
 		}
 	}
 	return table
 }
 
-// isVisible reports whether a user's operator sees a service.
-func isVisible(service *model.Service, user model.UserID) bool {
-	return user == "" || service.User == user
-}
-
 // serviceRow is one row of ServiceTable.
 func serviceRow(service *model.Service) []string {
 	policy := &service.Policy
@@ -49,13 +43,13 @@
 		strconv.Itoa(len(service.Upstreams)),
 		strconv.Itoa(draining),
 		answerBy(policy.AnswerBy),
-		policy.Deadline.String(),
+		Duration(policy.Deadline).String(),
 		Percent(policy.LeastCoverage).String(),
 		YesNo(policy.Repeatable).String(),
 		Percent(policy.HedgeBudget).String(),
 		Percent(policy.RetryBudget).String(),
 		strconv.Itoa(policy.QueueLimit),
-		policy.QueueWait.String(),
+		Duration(policy.QueueWait).String(),
 		Rate(policy.RequestsPerSecond).String(),
 	}
 }
@@ -65,7 +59,7 @@
 	if d == 0 {
 		return "deadline"
 	}
-	return d.String()
+	return Duration(d).String()
 }
 
 // States of an upstream in a table.
@@ -76,15 +70,12 @@
 
 // UpstreamTable lists upstreams; the pattern is of "service/upstream", or of the
 // service alone.
-func UpstreamTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+func UpstreamTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{
 		"upstream", "service", "address", "failure_domain", "shard", "slots", "connections", "state",
 	}, Rows: [][]string{}}
 	for i := range config.Services {
 		service := &config.Services[i]
-		if !isVisible(service, user) {
-			continue
-		}
 		whole := pattern.matches(string(service.Name))
 		for j := range service.Upstreams {
 			upstream := &service.Upstreams[j]
@@ -115,14 +106,14 @@
 }
 
 // UserTable lists users.
-func UserTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+func UserTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{"user", "weight", "rate", "in_flight", "services"}, Rows: [][]string{}}
 	owned := make(map[model.UserID]int)
 	for i := range config.Services {
 		owned[config.Services[i].User]++
 	}
 	for _, u := range config.Users {
-		if !pattern.matches(string(u.ID)) || user != "" && u.ID != user {
+		if !pattern.matches(string(u.ID)) {
 			continue
 		}
 		table.Rows = append(table.Rows, []string{
@@ -134,10 +125,10 @@
 }
 
 // OperatorTable lists operators without their key hashes.
-func OperatorTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+func OperatorTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{"operator", "user"}, Rows: [][]string{}}
 	for _, operator := range config.Operators {
-		if !pattern.matches(string(operator.Name)) || user != "" && operator.User != user {
+		if !pattern.matches(string(operator.Name)) {
 			continue
 		}
 		limit := string(operator.User)
@@ -150,10 +141,10 @@
 }
 
 // LimitTable lists the limits of users and services on each node.
-func LimitTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+func LimitTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{"name", "kind", "rate", "in_flight", "weight", "queue", "wait"}, Rows: [][]string{}}
 	for _, u := range config.Users {
-		if !pattern.matches(string(u.ID)) || user != "" && u.ID != user {
+		if !pattern.matches(string(u.ID)) {
 			continue
 		}
 		table.Rows = append(table.Rows, []string{
@@ -162,23 +153,22 @@
 	}
 	for i := range config.Services {
 		service := &config.Services[i]
-		if !pattern.matches(string(service.Name)) || !isVisible(service, user) {
+		if !pattern.matches(string(service.Name)) {
 			continue
 		}
 		table.Rows = append(table.Rows, []string{
 			string(service.Name), "service", Rate(service.Policy.RequestsPerSecond).String(), "", "",
-			strconv.Itoa(service.Policy.QueueLimit), service.Policy.QueueWait.String(),
+			strconv.Itoa(service.Policy.QueueLimit), Duration(service.Policy.QueueWait).String(),
 		})
 	}
 	return table
 }
 
 // ConvictionTable lists the convictions that operators made.
-func ConvictionTable(config *model.Config, pattern Pattern, user model.UserID) model.Table {
+func ConvictionTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{"service", "fingerprint", "until"}, Rows: [][]string{}}
 	for _, conviction := range config.Convictions {
-		service := config.Service(conviction.Service)
-		if service == nil || !isVisible(service, user) || !pattern.matches(string(conviction.Service)) {
+		if !pattern.matches(string(conviction.Service)) {
 			continue
 		}
 		until := "an operator pardons it"
--- a/internal/statement/validate.go
+++ b/internal/statement/validate.go
@@ -109,28 +109,44 @@
 // validateAddresses notes two upstreams of one address, where either was
 // changed: their limits would be counted twice.
 func (e *editor) validateAddresses() {
-	holders := make(map[string]model.UpstreamID)
+	changed := e.changedAddresses()
+	if len(changed) == 0 {
+		return
+	}
 	for i := range e.config.Services {
-		for _, upstream := range e.config.Services[i].Upstreams {
-			other, taken := holders[upstream.Address]
-			holders[upstream.Address] = upstream.ID
-			if !taken {
-				continue
+		service := &e.config.Services[i]
+		for j := range service.Upstreams {
+			upstream := &service.Upstreams[j]
+			holder, ok := changed[upstream.Address]
+			if ok && holder != upstream.ID {
+				e.failDuplicate(holder, upstream)
 			}
-			e.failDuplicate(other, upstream.ID, upstream.Address)
 		}
 	}
 }
 
-// failDuplicate notes a shared address at the statement that brought it in.
-func (e *editor) failDuplicate(first, second model.UpstreamID, address string) {
-	place, touched := e.touched[second.Service()]
-	if !touched {
-		place, touched = e.touched[first.Service()]
-	}
-	if touched {
-		e.failAt(place, RuleDuplicateAddress, "upstreams %s and %s have the same address %s", first, second, address)
+// changedAddresses returns the addresses of the touched services' upstreams with
+// their holders; of several holders, the first.
+func (e *editor) changedAddresses() map[string]model.UpstreamID {
+	changed := make(map[string]model.UpstreamID)
+	for i := range e.config.Services {
+		service := &e.config.Services[i]
+		if _, touched := e.touched[service.Name]; !touched {
+			continue
+		}
+		for _, upstream := range service.Upstreams {
+			if _, taken := changed[upstream.Address]; !taken {
+				changed[upstream.Address] = upstream.ID
+			}
+		}
 	}
+	return changed
+}
+
+// failDuplicate notes a shared address at the statement that brought it in.
+func (e *editor) failDuplicate(holder model.UpstreamID, upstream *model.Upstream) {
+	place := e.touched[holder.Service()]
+	e.failAt(place, RuleDuplicateAddress, "upstreams %s and %s have the same address %s", holder, upstream.ID, upstream.Address)
 }
 
 // validateOperators notes operators of unknown users.
--- a/internal/statement/value.go
+++ b/internal/statement/value.go
@@ -109,7 +109,9 @@
 }
 
 // String returns the form that the language reads.
-func (d Duration) String() string { return time.Duration(d).String() }
+func (d Duration) String() string {
+	return strings.Replace(time.Duration(d).String(), "µs", "us", 1)
+}
 
 // Percent is a percentage such as 5% or 0.5%.
 type Percent model.Percent
@@ -262,11 +264,29 @@
 	return nil
 }
 
+// Column names a column of a table.
+type Column string
+
+// columnForm is the form of a column's name.
+var columnForm = regexp.MustCompile(`^[A-Za-z_]+$`)
+
+// Capture implements participle.Capture.
+func (c *Column) Capture(words []string) error {
+	if !columnForm.MatchString(words[0]) {
+		return &ValueError{Found: words[0], Expected: "the name of a column"}
+	}
+	*c = Column(words[0])
+	return nil
+}
+
 // Value is a bare or quoted text that a column is compared with.
 type Value string
 
 // Capture implements participle.Capture.
 func (v *Value) Capture(words []string) error {
+	if words[0] == impossible {
+		return &ValueError{Found: words[0], Expected: "a value, in single quotes if it holds spaces"}
+	}
 	*v = Value(unquote(words[0]))
 	return nil
 }
--- a/internal/statement/where.go
+++ b/internal/statement/where.go
@@ -27,15 +27,15 @@
 }
 
 // Select returns the rows of a table that meet the conditions; nil conditions
-// are met by all. A column that the table lacks is a failure.
-func (w *Where) Select(table model.Table) (model.Table, *model.Failure) {
+// are met by all. A column that the table lacks is a problem.
+func (w *Where) Select(table model.Table) (model.Table, *Problem) {
 	if w == nil {
 		return table, nil
 	}
 	selected := model.Table{Columns: table.Columns, Rows: [][]string{}}
-	columns, failure := w.columns(table.Columns)
-	if failure != nil {
-		return selected, failure
+	columns, problem := w.columns(table.Columns)
+	if problem != nil {
+		return selected, problem
 	}
 	for _, row := range table.Rows {
 		if w.holds(row, columns) {
@@ -46,16 +46,17 @@
 }
 
 // columns returns the index of each condition's column.
-func (w *Where) columns(names []string) ([]int, *model.Failure) {
+func (w *Where) columns(names []string) ([]int, *Problem) {
 	var indexes []int
 	for _, condition := range w.Conditions {
-		index := columnIndex(names, condition.Column)
+		index := columnIndex(names, string(condition.Column))
 		if index < 0 {
-			return nil, (&Problem{
+			return nil, &Problem{
+				Rule:     RuleUnknown,
 				Position: position(condition.Pos),
-				Found:    condition.Column,
-				Expected: "a column: " + strings.Join(names, ", "),
-			}).Failure()
+				Found:    strconv.Quote(string(condition.Column)),
+				Expected: "one of the columns " + strings.Join(names, ", "),
+			}
 		}
 		indexes = append(indexes, index)
 	}
