--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -89,6 +89,7 @@
 		quarantine: quarantine.New(),
 		entry:      entry.New(settings.Entry),
 	}
+	s.config.SetHosts(s.membership)
 	s.dispatch = dispatch.New(s.entry)
 	s.query = query.New(query.Parts{
 		Catalog:    s.catalog,
