--- /dev/null
+++ b/internal/reducer/query/finish.go
@@ -0,0 +1,136 @@
+package query
+
+import (
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// progress answers a request that has come to its end, and else sets its next
+// timer.
+func (s *State) progress(ctx *step.Context, r *request) {
+	if r.closed {
+		return
+	}
+	if r.suspect && r.tasks[r.canary].state != taskRunning {
+		s.afterCanary(ctx, r)
+	}
+	if r.unsettled == 0 || !ctx.Now.Before(r.deadline) || r.mayAnswerNow(ctx.Now) {
+		s.finish(ctx, r)
+		return
+	}
+	s.arm(ctx, r)
+}
+
+// afterCanary scatters the rest of a suspect request, unless its canary crashed
+// an upstream.
+func (s *State) afterCanary(ctx *step.Context, r *request) {
+	if r.crashes == 0 {
+		s.scatter(ctx, r)
+		return
+	}
+	for i := range r.tasks {
+		r.settle(&r.tasks[i], taskFailed)
+	}
+	r.reason = model.CodeQuarantined
+}
+
+// mayAnswerNow reports whether the answer-by time has come and the coverage
+// suffices.
+func (r *request) mayAnswerNow(now model.Instant) bool {
+	if r.isOrder() || r.answerBy == 0 || now.Before(r.answerBy) {
+		return false
+	}
+	return r.covered()
+}
+
+// covered reports whether a search has its least coverage, and not nothing.
+func (r *request) covered() bool {
+	return r.merge.Searched() > 0 && r.merge.Percent() >= r.leastCoverage
+}
+
+// finish answers a request and forgets it.
+func (s *State) finish(ctx *step.Context, r *request) {
+	running := len(r.attempts) > 0 && r.hasOpenAttempt()
+	var answer model.Answer
+	if r.isOrder() {
+		answer = r.orderAnswer(running)
+	} else {
+		answer = s.searchAnswer(ctx, r, running)
+	}
+	s.close(ctx, r)
+	if r.isOrder() {
+		s.sink.OrderDone(ctx, r.order, answer)
+		return
+	}
+	ctx.Emit(effect.ReplyCaller{
+		Call:    r.call,
+		Answer:  answer,
+		Service: r.services[0].config.Name,
+		Elapsed: ctx.Now.Sub(r.started),
+	})
+}
+
+// hasOpenAttempt reports whether an attempt may still run.
+func (r *request) hasOpenAttempt() bool {
+	for i := range r.attempts {
+		if !r.attempts[i].settled {
+			return true
+		}
+	}
+	return false
+}
+
+// searchAnswer returns the merged rows, or a failure when the coverage does not
+// suffice.
+func (s *State) searchAnswer(ctx *step.Context, r *request, running bool) model.Answer {
+	coverage := r.merge.Coverage()
+	answer := model.Answer{RequestID: r.requestID, Snapshot: r.pin.Version(), Coverage: &coverage}
+	if r.covered() {
+		answer.Outcome = model.Answered
+		answer.Results = r.merge.Rows()
+		if !coverage.Complete() {
+			ctx.Count(metricPartialAnswers, "")
+		}
+		return answer
+	}
+	ctx.Count(metricLowCoverage, "")
+	r.failAnswer(&answer, running)
+	if answer.Outcome == model.Unknown && r.reason != model.CodeQuarantined {
+		answer.Failure = model.Failf(model.CodeLowCoverage, "%d of %d shards were searched in time, and at least %g%% are asked for",
+			coverage.Searched, coverage.Total, float64(r.leastCoverage))
+	}
+	return answer
+}
+
+// orderAnswer returns an order's reply or failure.
+func (r *request) orderAnswer(running bool) model.Answer {
+	answer := model.Answer{RequestID: r.requestID}
+	if r.tasks[0].state == taskAnswered {
+		answer.Outcome = model.Answered
+		answer.OrderReply = r.orderReply
+		return answer
+	}
+	r.failAnswer(&answer, running)
+	return answer
+}
+
+// failAnswer makes an answer a failure. It is "not run" only if every attempt
+// was settled as such.
+func (r *request) failAnswer(answer *model.Answer, running bool) {
+	reason := r.reason
+	if reason == "" {
+		reason = model.CodeDeadline
+	}
+	if r.mayHaveRun || running {
+		answer.Outcome = model.Unknown
+		if running {
+			reason = model.CodeDeadline
+		}
+		answer.Failure = model.Failf(reason, "the request may have run, and its reply did not arrive")
+		return
+	}
+	answer.Outcome = model.NotRun
+	answer.RetryAfter = max(r.retryAfter, leastRetryAfter)
+	answer.Failure = model.Failf(reason, "no upstream ran the request")
+}
--- /dev/null
+++ b/internal/reducer/query/order.go
@@ -0,0 +1,41 @@
+package query
+
+import (
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// prepareOrder checks an order. On success it is admitted.
+func (s *State) prepareOrder(ctx *step.Context, order Order) (*request, *refusal) {
+	service := s.parts.Catalog.Service(ctx, order.Service)
+	if service == nil {
+		return nil, &refusal{failure: model.Failf(model.CodeUnknownService, "no service %.100q", order.Service)}
+	}
+	selected := []*model.Service{service}
+	r := &request{
+		kind:      message.KindOrder,
+		call:      order.Call,
+		requestID: order.RequestID,
+		order:     order,
+		body:      order.Body,
+		started:   ctx.Now,
+	}
+	r.applyPolicies(selected, order.Timeout)
+	r.answerBy = 0
+	if refused := s.attachServices(ctx, r, selected); refused != nil {
+		return nil, refused
+	}
+	r.tasks = []task{{replicas: s.parts.Catalog.Replicas(ctx, order.Service)}}
+	r.unsettled = 1
+	if refused := s.admit(ctx, selected); refused != nil {
+		return nil, refused
+	}
+	return r, nil
+}
+
+// refuseOrder tells the sink that an order was not started.
+func (s *State) refuseOrder(ctx *step.Context, order Order, refused *refusal) {
+	ctx.Count(metricRefused, string(refused.failure.Code))
+	s.sink.OrderDone(ctx, order, refused.answer(order.RequestID))
+}
--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/event"
-	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/query/replica"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
@@ -43,35 +43,115 @@
 	Quarantine *quarantine.State
 }
 
+// maxOpenRequests bounds the requests that one node coordinates at once.
+const maxOpenRequests = 8192
+
 // State holds the open searches and orders that this node coordinates.
 type State struct {
 	parts Parts
 	sink  OrderSink
+
+	// nextRequest and nextAttempt are the last numbers given out.
+	nextRequest uint64
+	nextAttempt uint64
+	requests    map[uint64]*request
+	calls       map[model.CallID]*request
+	attempts    map[uint64]attemptRef
+	// cancelled remembers cancelled attempts until their results arrive.
+	cancelled cancelledAttempts
+
+	config   *model.Config
+	services map[model.ServiceName]*serviceStats
+	replicas *replica.Table
+	// lostPeers holds the dispatchers whose stream ended a short while ago.
+	lostPeers map[model.HostID]model.Instant
+}
+
+// attemptRef finds an open attempt.
+type attemptRef struct {
+	request *request
+	// index is the attempt's place in the request.
+	index int
 }
 
 // New returns a state without open requests.
-func New(parts Parts) *State { return &State{parts: parts} }
+func New(parts Parts) *State {
+	return &State{
+		parts:     parts,
+		requests:  make(map[uint64]*request),
+		calls:     make(map[model.CallID]*request),
+		attempts:  make(map[uint64]attemptRef),
+		cancelled: newCancelledAttempts(),
+		services:  make(map[model.ServiceName]*serviceStats),
+		replicas:  replica.NewTable(),
+		lostPeers: make(map[model.HostID]model.Instant),
+	}
+}
 
 // SetSink names the receiver of the orders' outcomes.
 func (s *State) SetSink(sink OrderSink) { s.sink = sink }
 
-// HandleSearch starts a caller's search.
-func (s *State) HandleSearch(ctx *step.Context, e event.Search) {}
+// InFlight returns the number of open searches and orders.
+func (s *State) InFlight() int { return len(s.requests) }
 
-// RunOrder starts an order; its outcome goes to the sink, once.
-func (s *State) RunOrder(ctx *step.Context, order Order) {}
+// HandleSearch starts a caller's search.
+func (s *State) HandleSearch(ctx *step.Context, e event.Search) {
+	s.sync(ctx)
+	r, refusal := s.prepareSearch(ctx, e)
+	if refusal != nil {
+		s.refuseSearch(ctx, e, refusal)
+		return
+	}
+	s.open(r)
+	s.scatter(ctx, r)
+	s.progress(ctx, r)
+}
 
-// HandleResult takes in a dispatcher's result.
-func (s *State) HandleResult(ctx *step.Context, from model.HostID, m message.DispatchResult) {}
+// RunOrder starts an order; its outcome goes to the sink, once. It may come
+// before RunOrder returns.
+func (s *State) RunOrder(ctx *step.Context, order Order) {
+	s.sync(ctx)
+	r, refusal := s.prepareOrder(ctx, order)
+	if refusal != nil {
+		s.refuseOrder(ctx, order, refusal)
+		return
+	}
+	s.open(r)
+	s.scatter(ctx, r)
+	s.progress(ctx, r)
+}
 
 // HandleCallerGone cancels a search whose caller closed the request.
-func (s *State) HandleCallerGone(ctx *step.Context, call model.CallID) {}
-
-// HandlePeerLost settles the attempts that were with a lost dispatcher.
-func (s *State) HandlePeerLost(ctx *step.Context, host model.HostID) {}
+func (s *State) HandleCallerGone(ctx *step.Context, call model.CallID) {
+	r, ok := s.calls[call]
+	if !ok {
+		return
+	}
+	ctx.Count(metricCallersGone, "")
+	s.close(ctx, r)
+}
 
-// HandleTimer handles hedge times, answer-by times and deadlines.
-func (s *State) HandleTimer(ctx *step.Context, id uint64) {}
+// open registers a prepared request.
+func (s *State) open(r *request) {
+	s.nextRequest++
+	r.number = s.nextRequest
+	s.requests[r.number] = r
+	if !r.isOrder() {
+		s.calls[r.call] = r
+	}
+}
 
-// InFlight returns the number of open searches and orders.
-func (s *State) InFlight() int { return 0 }
+// close cancels what is open of a request and forgets it.
+func (s *State) close(ctx *step.Context, r *request) {
+	for i := range r.attempts {
+		s.cancel(ctx, r, i)
+	}
+	for i := range r.services {
+		s.parts.Admission.Release(ctx, r.services[i].config)
+	}
+	delete(s.requests, r.number)
+	if !r.isOrder() {
+		delete(s.calls, r.call)
+	}
+	r.closed = true
+}
--- /dev/null
+++ b/internal/reducer/query/replica/replica.go
@@ -0,0 +1,256 @@
+// Package replica chooses among the upstreams that could run a sub-request, by
+// free slots, by the coordinator's own recent latencies and by failure domain.
+package replica
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
+)
+
+const (
+	// weightOfSample is the share of the newest sample in the mean latency.
+	weightOfSample = 0.2
+	// forgetTime is the time constant with which a high latency that is no
+	// longer observed falls towards that of the fastest replica, so that a
+	// recovered upstream is tried again.
+	forgetTime = 5 * time.Second
+	// tolerance is the ratio to the lowest cost up to which replicas count as
+	// equally good.
+	tolerance = 1.5
+	// sameDomainWeight is the preference for the coordinator's own failure
+	// domain among equally good replicas.
+	sameDomainWeight = 2
+)
+
+// Table holds what a coordinator observed of each upstream.
+type Table struct {
+	stats map[model.UpstreamID]*Stats
+}
+
+// Stats is what a coordinator observed of one upstream.
+type Stats struct {
+	// latency is the mean of the recent latencies; zero means none observed.
+	latency  time.Duration
+	observed model.Instant
+	// outstanding counts this coordinator's open attempts.
+	outstanding int
+	// sent counts the attempts sent since the dispatcher's count of free slots at
+	// the time counted.
+	sent    int
+	counted model.Instant
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{stats: make(map[model.UpstreamID]*Stats)} }
+
+// Wish states what a sub-request needs.
+type Wish struct {
+	Now model.Instant
+	// Domain is the coordinator's own failure domain.
+	Domain model.FailureDomain
+	// Avoid is a failure domain that just failed or is slow, or empty.
+	Avoid model.FailureDomain
+	// FreeSlot demands a replica with a free slot.
+	FreeSlot bool
+	// Tried are the upstreams that are out of the question.
+	Tried []model.UpstreamID
+}
+
+// of returns the statistics of an upstream.
+func (t *Table) of(id model.UpstreamID) *Stats {
+	s, ok := t.stats[id]
+	if !ok {
+		s = &Stats{}
+		t.stats[id] = s
+	}
+	return s
+}
+
+// Sent takes in that an attempt was sent.
+func (t *Table) Sent(r *snapshot.Replica) {
+	s := t.of(r.ID)
+	if s.counted != r.Updated {
+		s.counted = r.Updated
+		s.sent = 0
+	}
+	s.sent++
+	s.outstanding++
+}
+
+// Settled takes in that an attempt has ended, whatever its outcome.
+func (t *Table) Settled(id model.UpstreamID) {
+	if s := t.of(id); s.outstanding > 0 {
+		s.outstanding--
+	}
+}
+
+// Observe takes in the latency of an answered attempt.
+func (t *Table) Observe(id model.UpstreamID, now model.Instant, d time.Duration) {
+	s := t.of(id)
+	if s.latency == 0 {
+		s.latency = d
+	} else {
+		s.latency += time.Duration(weightOfSample * float64(d-s.latency))
+	}
+	s.observed = now
+}
+
+// ObserveAtLeast takes in that an attempt has taken at least d so far.
+func (t *Table) ObserveAtLeast(id model.UpstreamID, now model.Instant, d time.Duration) {
+	s := t.of(id)
+	if d > s.latency {
+		s.latency = d
+		s.observed = now
+	}
+}
+
+// Latency returns the mean of the recent latencies, zero if none is known.
+func (t *Table) Latency(id model.UpstreamID) time.Duration {
+	if s, ok := t.stats[id]; ok {
+		return s.latency
+	}
+	return 0
+}
+
+// Keep forgets the upstreams that are not wanted any more.
+func (t *Table) Keep(wanted func(model.UpstreamID) bool) {
+	for id := range t.stats {
+		if !wanted(id) {
+			delete(t.stats, id)
+		}
+	}
+}
+
+// free estimates the free slots after what this coordinator sent itself.
+func (s *Stats) free(r *snapshot.Replica) int {
+	if s.counted != r.Updated {
+		return r.FreeSlots
+	}
+	return r.FreeSlots - s.sent
+}
+
+// estimate returns the latency to expect when the fastest replica has the given
+// one. A replica that was slow is tried again by one attempt at a time.
+func (s *Stats) estimate(now model.Instant, fastest time.Duration) time.Duration {
+	if s.latency <= fastest {
+		return fastest
+	}
+	if s.outstanding > 0 {
+		return s.latency
+	}
+	age := now.Sub(s.observed)
+	faded := math.Exp(-float64(age) / float64(forgetTime))
+	return fastest + time.Duration(faded*float64(s.latency-fastest))
+}
+
+// candidate is a replica that may be chosen.
+type candidate struct {
+	replica *snapshot.Replica
+	cost    float64
+	weight  float64
+}
+
+// Choose returns the replica for a sub-request, or nil if none can take it. Among
+// replicas that are about equally good the choice is random by free slots, so
+// that coordinators that know the same do not all choose the same.
+func (t *Table) Choose(replicas []*snapshot.Replica, wish Wish, random *rand.Rand) *snapshot.Replica {
+	var buffer [8]candidate
+	candidates := t.rate(buffer[:0], replicas, wish)
+	if len(candidates) == 0 {
+		return nil
+	}
+	lowest := math.Inf(1)
+	for _, c := range candidates {
+		lowest = min(lowest, c.cost)
+	}
+	total := 0.0
+	for _, c := range candidates {
+		if c.cost <= lowest*tolerance {
+			total += c.weight
+		}
+	}
+	return draw(candidates, lowest*tolerance, random.Float64()*total)
+}
+
+// draw returns the candidate at a point of the summed weights.
+func draw(candidates []candidate, bound, point float64) *snapshot.Replica {
+	var last *snapshot.Replica
+	for _, c := range candidates {
+		if c.cost > bound {
+			continue
+		}
+		last = c.replica
+		point -= c.weight
+		if point < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// rate appends the replicas that fulfil the wish with their costs.
+func (t *Table) rate(candidates []candidate, replicas []*snapshot.Replica, wish Wish) []candidate {
+	fastest := t.fastest(replicas)
+	for _, r := range replicas {
+		if !r.Usable() || contains(wish.Tried, r.ID) {
+			continue
+		}
+		s := t.of(r.ID)
+		free := s.free(r)
+		if wish.FreeSlot && free <= 0 {
+			continue
+		}
+		candidates = append(candidates, candidate{
+			replica: r,
+			cost:    cost(s.estimate(wish.Now, fastest), free, r),
+			weight:  weight(free, r, wish),
+		})
+	}
+	return candidates
+}
+
+// fastest returns the lowest latency that is known of usable replicas.
+func (t *Table) fastest(replicas []*snapshot.Replica) time.Duration {
+	lowest := time.Duration(0)
+	for _, r := range replicas {
+		s := t.of(r.ID)
+		if r.Usable() && s.latency > 0 && (lowest == 0 || s.latency < lowest) {
+			lowest = s.latency
+		}
+	}
+	return max(lowest, time.Microsecond)
+}
+
+// cost is the time to expect, with the wait for a slot.
+func cost(latency time.Duration, free int, r *snapshot.Replica) float64 {
+	if free > 0 {
+		return float64(latency)
+	}
+	waiting := float64(max(r.Queued, 0) - free + 1)
+	return float64(latency) * (1 + waiting/float64(max(r.Limit, 1)))
+}
+
+// weight is the preference among replicas that are about equally good.
+func weight(free int, r *snapshot.Replica, wish Wish) float64 {
+	w := float64(max(free, 1))
+	if r.Domain == wish.Domain {
+		w *= sameDomainWeight
+	}
+	if wish.Avoid != "" && r.Domain == wish.Avoid {
+		w /= 10 * sameDomainWeight
+	}
+	return w
+}
+
+func contains(ids []model.UpstreamID, id model.UpstreamID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/reducer/query/scatter.go
@@ -0,0 +1,183 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/query/replica"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+const (
+	// settleMargin is kept back from a dispatcher's time, as a share of what is
+	// left, so that its refusal arrives before the coordinator's deadline.
+	settleMargin    = 0.05
+	maxSettleMargin = 10 * time.Millisecond
+	// lostPeerTime is how long a dispatcher whose stream ended is not used.
+	lostPeerTime = 1 * time.Second
+)
+
+// scatter sends the first attempts of all waiting tasks. Of a suspect request
+// only one canary is sent; the rest follows when it has survived.
+func (s *State) scatter(ctx *step.Context, r *request) {
+	for i := range r.tasks {
+		t := &r.tasks[i]
+		if t.state != taskWaiting {
+			continue
+		}
+		if r.suspect && !r.serviceOf(t).suspect {
+			continue
+		}
+		s.startTask(ctx, r, i)
+		if r.suspect && t.state == taskRunning {
+			r.canary = i
+			ctx.Count(metricCanaries, "")
+			return
+		}
+	}
+	if r.suspect {
+		r.suspect = false
+		s.scatter(ctx, r)
+	}
+}
+
+// startTask sends a task's first attempt, or fails it when none is possible.
+func (s *State) startTask(ctx *step.Context, r *request, index int) {
+	t := &r.tasks[index]
+	service := r.serviceOf(t)
+	policy := &service.config.Policy
+	chosen := s.parts.choose(ctx, s.replicas, t.replicas, replica.Wish{})
+	if chosen == nil || !s.send(ctx, r, index, chosen, firstAttempt) {
+		r.settle(t, taskFailed)
+		r.noteReason(model.CodeUnavailable, defaultRetryAfter)
+		return
+	}
+	t.state = taskRunning
+	service.stats.hedges.Deposit(hedgeLimits(policy))
+	service.stats.retries.Deposit(retryLimits(policy))
+	if policy.Repeatable && !r.suspect && policy.HedgeBudget > 0 {
+		t.hedgeDelay = service.stats.hedgeDelay(t.shard, policy)
+		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
+	}
+}
+
+// choose completes a wish with the node's own situation.
+func (p *Parts) choose(ctx *step.Context, table *replica.Table, replicas []*snapshot.Replica, wish replica.Wish) *snapshot.Replica {
+	wish.Now = ctx.Now
+	wish.Domain = ctx.Self.FailureDomain
+	return table.Choose(replicas, wish, ctx.Random)
+}
+
+// send sends one attempt to the upstream's dispatcher. It reports false when the
+// upstream has no dispatcher.
+func (s *State) send(ctx *step.Context, r *request, index int, chosen *snapshot.Replica, kind attemptKind) bool {
+	host, ok := s.dispatcher(ctx, chosen.ID, nil)
+	if !ok {
+		return false
+	}
+	s.nextAttempt++
+	r.attempts = append(r.attempts, attempt{
+		number:     s.nextAttempt,
+		task:       index,
+		kind:       kind,
+		replica:    chosen,
+		dispatcher: host,
+		sent:       ctx.Now,
+	})
+	s.attempts[s.nextAttempt] = attemptRef{request: r, index: len(r.attempts) - 1}
+	t := &r.tasks[index]
+	t.running++
+	t.sent++
+	s.replicas.Sent(chosen)
+	s.transmit(ctx, r, len(r.attempts)-1)
+	return true
+}
+
+// transmit sends the message of an attempt.
+func (s *State) transmit(ctx *step.Context, r *request, index int) {
+	a := &r.attempts[index]
+	t := &r.tasks[a.task]
+	service := r.serviceOf(t)
+	left := r.timeLeft(ctx.Now)
+	left -= min(time.Duration(settleMargin*float64(left)), maxSettleMargin)
+	dispatch := message.Dispatch{
+		Attempt:      s.attemptID(ctx, a.number),
+		Upstream:     a.replica.ID,
+		Kind:         r.kind,
+		RequestID:    r.requestID,
+		Body:         r.body,
+		TimeLeft:     int64(left),
+		MaxQueueWait: int64(min(service.config.Policy.QueueWait, left)),
+		User:         service.config.User,
+		Fingerprint:  service.print,
+		Isolate:      service.suspect || r.crashes > 0,
+		Hedge:        a.kind == hedgeAttempt,
+		Repeatable:   service.config.Policy.Repeatable,
+	}
+	if !r.isOrder() {
+		dispatch.Version = r.pin.Version()
+		dispatch.Shards = r.pin.Target(a.task).Shards()
+	}
+	ctx.Send(a.dispatcher, dispatch)
+}
+
+// attemptID returns the identifier of one of this node's attempts.
+func (s *State) attemptID(ctx *step.Context, number uint64) model.AttemptID {
+	return model.AttemptID{Host: ctx.Self.Host, Incarnation: ctx.Self.Incarnation, Number: number}
+}
+
+// dispatcher returns the node to send an upstream's work to: this node if it is
+// one of the upstream's dispatchers, else the first.
+func (s *State) dispatcher(ctx *step.Context, upstream model.UpstreamID, except []model.HostID) (model.HostID, bool) {
+	hosts := s.parts.Placement.Dispatchers(upstream, s.members(ctx))
+	if slices.Contains(hosts, ctx.Self.Host) && !slices.Contains(except, ctx.Self.Host) {
+		return ctx.Self.Host, true
+	}
+	for _, host := range hosts {
+		if !slices.Contains(except, host) {
+			return host, true
+		}
+	}
+	return "", false
+}
+
+// members returns the members without the peers that were just lost.
+func (s *State) members(ctx *step.Context) []model.Member {
+	for host, since := range s.lostPeers {
+		if ctx.Now.Sub(since) > lostPeerTime {
+			delete(s.lostPeers, host)
+		}
+	}
+	members := ctx.View.Members()
+	if len(s.lostPeers) == 0 {
+		return members
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m model.Member) bool {
+		_, lost := s.lostPeers[m.Host]
+		return lost
+	})
+}
+
+// cancel takes an attempt back if it is open.
+func (s *State) cancel(ctx *step.Context, r *request, index int) {
+	a := &r.attempts[index]
+	if a.settled {
+		return
+	}
+	s.endAttempt(r, index)
+	service := r.serviceOf(&r.tasks[a.task])
+	s.cancelled.add(a.number, cancelledAttempt{service: service.config.Name, print: service.print})
+	ctx.Send(a.dispatcher, message.Cancel{Attempt: s.attemptID(ctx, a.number)})
+}
+
+// endAttempt marks an attempt as settled.
+func (s *State) endAttempt(r *request, index int) {
+	a := &r.attempts[index]
+	a.settled = true
+	r.tasks[a.task].running--
+	delete(s.attempts, a.number)
+	s.replicas.Settled(a.replica.ID)
+}
--- /dev/null
+++ b/internal/reducer/query/search.go
@@ -0,0 +1,172 @@
+package query
+
+import (
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// defaultRetryAfter is told to callers when nothing better is known.
+const defaultRetryAfter = 1 * time.Second
+
+// maxShards bounds the shards of one search.
+const maxShards = 4096
+
+// refusal is why a request is not run.
+type refusal struct {
+	failure    *model.Failure
+	retryAfter time.Duration
+	coverage   *model.Coverage
+}
+
+// prepareSearch checks a search and pins its snapshot. On success the request
+// is admitted.
+func (s *State) prepareSearch(ctx *step.Context, e event.Search) (*request, *refusal) {
+	selected, failure := s.parts.Catalog.Resolve(ctx, e.Services)
+	if failure != nil {
+		return nil, &refusal{failure: failure}
+	}
+	r := &request{
+		kind:      message.KindSearch,
+		call:      e.Call,
+		requestID: e.RequestID,
+		body:      e.Query,
+		started:   ctx.Now,
+	}
+	r.applyPolicies(selected, e.Timeout)
+	if refused := s.attachServices(ctx, r, selected); refused != nil {
+		return nil, refused
+	}
+	if refused := s.pinSnapshot(ctx, r, selected); refused != nil {
+		return nil, refused
+	}
+	if refused := s.admit(ctx, selected); refused != nil {
+		return nil, refused
+	}
+	return r, nil
+}
+
+// applyPolicies sets the times and the least coverage. Of several services the
+// strictest policy holds: the earliest answer-by time and deadline, and the
+// highest least coverage.
+func (r *request) applyPolicies(selected []*model.Service, timeout time.Duration) {
+	deadline := timeout
+	answerBy := time.Duration(0)
+	for _, service := range selected {
+		policy := &service.Policy
+		deadline = earliest(deadline, policy.Deadline)
+		answerBy = earliest(answerBy, policy.AnswerBy)
+		r.leastCoverage = max(r.leastCoverage, policy.LeastCoverage)
+	}
+	if deadline == 0 {
+		deadline = model.DefaultDeadline
+	}
+	r.deadline = r.started.Add(deadline)
+	if answerBy > 0 && answerBy < deadline {
+		r.answerBy = r.started.Add(answerBy)
+	}
+}
+
+// earliest returns the shorter of two times of which zero means none.
+func earliest(a, b time.Duration) time.Duration {
+	if a == 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// attachServices adds the services' state and refuses convicted content.
+func (s *State) attachServices(ctx *step.Context, r *request, selected []*model.Service) *refusal {
+	r.services = make([]serviceRef, len(selected))
+	for i, service := range selected {
+		print := quarantine.Fingerprint(service.Name, r.body)
+		verdict := s.parts.Quarantine.Check(ctx, service.Name, print)
+		if verdict == quarantine.Convicted {
+			return &refusal{failure: model.Failf(model.CodeQuarantined, "this content crashes upstreams of %s", service.Name)}
+		}
+		suspect := verdict == quarantine.Suspect
+		r.services[i] = serviceRef{config: service, stats: s.statsOf(service.Name), print: print, suspect: suspect}
+		r.suspect = r.suspect || suspect
+	}
+	return nil
+}
+
+// pinSnapshot pins the newest version of the greatest coverage. A search that
+// could not reach its least coverage is refused at once.
+func (s *State) pinSnapshot(ctx *step.Context, r *request, selected []*model.Service) *refusal {
+	pin := s.parts.Catalog.Pin(ctx, selected)
+	if pin.Len() > maxShards {
+		return &refusal{failure: model.Failf(model.CodeBadRequest, "%d shards are more than %d", pin.Len(), maxShards)}
+	}
+	r.usePin(pin)
+	reachable := model.Coverage{Searched: pin.Searchable(), Total: pin.Len()}
+	if reachable.Searched > 0 && reachable.Percent() >= r.leastCoverage {
+		return nil
+	}
+	coverage := r.merge.Coverage()
+	failure := model.Failf(model.CodeUnavailable, "%d of %d shards can be searched", reachable.Searched, reachable.Total)
+	return &refusal{failure: failure, retryAfter: defaultRetryAfter, coverage: &coverage}
+}
+
+// usePin starts the search's tasks on a pin.
+func (r *request) usePin(pin *snapshot.Pin) {
+	r.pin = pin
+	r.merge = snapshot.NewMerge(pin)
+	r.tasks = make([]task, pin.Len())
+	r.attempts = make([]attempt, 0, pin.Len()+pin.Len()/8+1)
+	r.unsettled = pin.Len()
+	for i := range r.tasks {
+		target := pin.Target(i)
+		r.tasks[i] = task{service: target.Service, shard: target.Shard, replicas: target.Holders}
+	}
+}
+
+// admit takes the request on for each of its services, or for none.
+func (s *State) admit(ctx *step.Context, selected []*model.Service) *refusal {
+	if len(s.requests) >= maxOpenRequests {
+		failure := model.Failf(model.CodeOverloaded, "the node has %d open requests", len(s.requests))
+		return &refusal{failure: failure, retryAfter: defaultRetryAfter}
+	}
+	for i, service := range selected {
+		refused := s.parts.Admission.Admit(ctx, service)
+		if refused == nil {
+			continue
+		}
+		for _, admitted := range selected[:i] {
+			s.parts.Admission.Release(ctx, admitted)
+		}
+		return &refusal{failure: refused.Failure, retryAfter: refused.RetryAfter}
+	}
+	return nil
+}
+
+// refuseSearch answers a search that was not started.
+func (s *State) refuseSearch(ctx *step.Context, e event.Search, refused *refusal) {
+	ctx.Count(metricRefused, string(refused.failure.Code))
+	answer := refused.answer(e.RequestID)
+	if answer.Coverage == nil {
+		answer.Coverage = &model.Coverage{Missing: []string{}}
+	}
+	service := model.ServiceName("")
+	if len(e.Services) > 0 {
+		service = model.ServiceName(e.Services[0])
+	}
+	ctx.Emit(effect.ReplyCaller{Call: e.Call, Answer: answer, Service: service})
+}
+
+// answer returns what a caller gets for a refusal.
+func (f *refusal) answer(id model.RequestID) model.Answer {
+	return model.Answer{
+		RequestID:  id,
+		Outcome:    model.NotRun,
+		Coverage:   f.coverage,
+		Failure:    f.failure,
+		RetryAfter: f.retryAfter,
+	}
+}
