Restart a search once when its version is gone

Cause: upstreams may drop the pinned version while a search runs.

Change: the search is started again as a whole, once, if time remains and another version has more searchable keys than the first can still give; its sub-requests are charged to the retry budget as debt.

--- a/internal/reducer/query/finish.go
+++ b/internal/reducer/query/finish.go
@@ -15,6 +15,9 @@
 	if r.suspect && r.tasks[r.canary].state != taskRunning {
 		s.afterCanary(ctx, r)
 	}
+	if r.versionGone {
+		s.restart(ctx, r)
+	}
 	if r.unsettled == 0 || !ctx.Now.Before(r.deadline) || r.mayAnswerNow(ctx.Now) {
 		s.finish(ctx, r)
 		return
--- /dev/null
+++ b/internal/reducer/query/restart.go
@@ -0,0 +1,52 @@
+package query
+
+import (
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// leastRestartShare is the share of a search's time that must be left for
+// another start.
+const leastRestartShare = 0.25
+
+// restart starts a search again, once and as a whole, when upstreams dropped the
+// pinned version and another version promises more than what this one can still
+// give.
+func (s *State) restart(ctx *step.Context, r *request) {
+	r.versionGone = false
+	whole := r.deadline.Sub(r.started)
+	if r.restarted || float64(r.timeLeft(ctx.Now)) < leastRestartShare*float64(whole) {
+		return
+	}
+	pin := s.parts.Catalog.Pin(ctx, r.configs())
+	if pin.Version() == r.pin.Version() || pin.SearchableKeys() <= r.reachableKeys() {
+		return
+	}
+	for i := range r.attempts {
+		s.cancel(ctx, r, i)
+	}
+	r.restarted = true
+	r.usePin(pin)
+	ctx.Count(metricRestarts, "")
+	s.scatter(ctx, r)
+}
+
+// configs returns the services of a request.
+func (r *request) configs() []*model.Service {
+	configs := make([]*model.Service, len(r.services))
+	for i := range r.services {
+		configs[i] = r.services[i].config
+	}
+	return configs
+}
+
+// reachableKeys returns how many keys are searched or may still be.
+func (r *request) reachableKeys() int {
+	keys := 0
+	for i := range r.tasks {
+		if r.tasks[i].state != taskFailed {
+			keys += r.pin.Target(i).Keys
+		}
+	}
+	return keys
+}
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -56,8 +56,12 @@
 		return
 	}
 	t.state = taskRunning
-	service.stats.hedges.Deposit(hedgeLimits(policy))
-	service.stats.retries.Deposit(retryLimits(policy))
+	if r.restarted {
+		service.stats.retries.Charge(1)
+	} else {
+		service.stats.hedges.Deposit(hedgeLimits(policy))
+		service.stats.retries.Deposit(retryLimits(policy))
+	}
 	if policy.Repeatable && !r.suspect && policy.HedgeBudget > 0 {
 		t.hedgeDelay = service.stats.hedgeDelay(t.shard, policy)
 		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
--- a/internal/reducer/snapshot/pin.go
+++ b/internal/reducer/snapshot/pin.go
@@ -29,6 +29,8 @@
 	shards []model.ShardID
 	// Name is "service/shard".
 	Name string
+	// Keys is the size of the shard's range.
+	Keys int
 	// Holders are the upstreams that hold the shard in the pinned version; their
 	// states follow the catalog.
 	Holders []*Replica
@@ -105,6 +107,7 @@
 			Shard:   shard.ID,
 			shards:  v.partition.ids[i : i+1 : i+1],
 			Name:    v.partition.names[i],
+			Keys:    int(shard.High - shard.Low),
 			Holders: v.holders[i],
 		})
 	}
