Open-loop load generator that checks every answer

Cause: latency, coverage and extra work must be measurable from outside, and a closed loop would hide the waits of a slow node.

Answers carry the number of attempts beside the planned number, so that extra work shows from outside.

--- a/cmd/hawthorntack/main.go
+++ b/cmd/hawthorntack/main.go
@@ -48,6 +48,7 @@
 		addNode,
 		addDemo,
 		addDump,
+		addLoad,
 		addVersion,
 	} {
 		if err := add(parser, std); err != nil {
--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -26,6 +26,10 @@
 	// AcknowledgedHeader carries the highest sequence number of the session up to
 	// which the caller has all outcomes.
 	AcknowledgedHeader = "Request-Acknowledged"
+	// AttemptsHeader tells how many sub-requests an answer took, hedges and
+	// retries included, and PlannedHeader how many it would have taken without.
+	AttemptsHeader = "Upstream-Attempts"
+	PlannedHeader  = "Upstream-Planned"
 )
 
 // maxTimeout bounds the timeout that a caller may ask for.
@@ -233,6 +237,8 @@
 		seconds := max(1, int64((a.RetryAfter+time.Second-1)/time.Second))
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
 	}
+	c.Response().Header().Set(AttemptsHeader, strconv.Itoa(a.Attempts))
+	c.Response().Header().Set(PlannedHeader, strconv.Itoa(a.Planned))
 	return c.JSON(answerStatus(a), body)
 }
 
--- /dev/null
+++ b/internal/load/request.go
@@ -0,0 +1,172 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/hawthorntack/hawthorntack/internal/api"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// Outcomes beside those of the API.
+const (
+	// outcomeFailed is a request that got no answer of the API.
+	outcomeFailed model.Outcome = "failed"
+)
+
+// request is one request, the same on every resend.
+type request struct {
+	options Options
+	id      string
+	path    string
+	body    []byte
+	query   json.RawMessage
+}
+
+// result is what became of a request.
+type result struct {
+	outcome   model.Outcome
+	code      model.Code
+	searched  int
+	total     int
+	attempts  int
+	planned   int
+	partial   bool
+	foreign   bool
+	mixed     bool
+	id        string
+	execution string
+}
+
+// settled reports whether a resend is of no use.
+func (r result) settled() bool {
+	return r.outcome == model.Answered || r.outcome == model.NotRun
+}
+
+// answer is the body of an answer.
+type answer struct {
+	RequestID string          `json:"request_id"`
+	Outcome   model.Outcome   `json:"outcome"`
+	Snapshot  model.Version   `json:"snapshot"`
+	Coverage  *model.Coverage `json:"coverage"`
+	Results   json.RawMessage `json:"results"`
+	Error     *model.Failure  `json:"error"`
+}
+
+// row is one row of a search, as the stand-in upstream writes it.
+type row struct {
+	Query   json.RawMessage `json:"query"`
+	Version model.Version   `json:"version"`
+}
+
+// newRequest returns the request with a number.
+func (g *guide) newRequest(ctx context.Context, options Options, number uint64) (request, error) {
+	query := json.RawMessage(fmt.Sprintf(`{"text":"query %d of run %d"}`, number, options.Seed))
+	if options.Kind == Order {
+		id, err := g.nextID(ctx)
+		if err != nil {
+			return request{}, err
+		}
+		return request{options: options, id: id, path: "/v1/services/" + options.Service + "/orders", body: query}, nil
+	}
+	body, err := json.Marshal(struct {
+		Services []string        `json:"services"`
+		Query    json.RawMessage `json:"query"`
+	}{[]string{options.Service}, query})
+	if err != nil {
+		return request{}, fmt.Errorf("encode search: %w", err)
+	}
+	return request{options: options, path: "/v1/search", body: body, query: query}, nil
+}
+
+// send sends the request once, to the address that the try falls on.
+func (r request) send(ctx context.Context, g *guide, try int) result {
+	failed := result{outcome: outcomeFailed, id: r.id}
+	addresses, err := g.addresses(ctx)
+	if err != nil {
+		return failed
+	}
+	address := addresses[try%len(addresses)]
+	sent, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return failed
+	}
+	// Without GetBody the client repeats nothing by itself.
+	sent.GetBody = nil
+	sent.Header.Set("Content-Type", "application/json")
+	if r.id != "" {
+		sent.Header.Set(api.RequestIDHeader, r.id)
+	}
+	if r.options.Timeout > 0 {
+		sent.Header.Set(api.TimeoutHeader, strconv.FormatInt(r.options.Timeout.Milliseconds(), 10))
+	}
+	response, err := g.client.Do(sent)
+	if err != nil {
+		g.forget()
+		return failed
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return failed
+	}
+	return r.judge(response.Header, body)
+}
+
+// judge checks an answer.
+func (r request) judge(header http.Header, body []byte) result {
+	out := result{outcome: outcomeFailed, id: r.id}
+	var a answer
+	if err := json.Unmarshal(body, &a); err != nil || a.Outcome == "" {
+		return out
+	}
+	out.outcome = a.Outcome
+	out.attempts, _ = strconv.Atoi(header.Get(api.AttemptsHeader))
+	out.planned, _ = strconv.Atoi(header.Get(api.PlannedHeader))
+	if a.Error != nil {
+		out.code = a.Error.Code
+	}
+	out.foreign = r.id != "" && a.RequestID != r.id
+	if r.options.Kind == Order {
+		out.execution = execution(a)
+		return out
+	}
+	if a.Coverage != nil {
+		out.searched = a.Coverage.Searched
+		out.total = a.Coverage.Total
+		out.partial = a.Outcome == model.Answered && out.searched < out.total
+	}
+	r.judgeRows(a, &out)
+	return out
+}
+
+// judgeRows checks that all rows answer this query from one snapshot.
+func (r request) judgeRows(a answer, out *result) {
+	var rows []row
+	if len(a.Results) > 0 {
+		if err := json.Unmarshal(a.Results, &rows); err != nil {
+			out.foreign = true
+			return
+		}
+	}
+	for _, each := range rows {
+		out.foreign = out.foreign || !bytes.Equal(each.Query, r.query)
+		out.mixed = out.mixed || each.Version != a.Snapshot
+	}
+}
+
+// execution returns the execution of an order's reply, empty if there is none.
+func execution(a answer) string {
+	var reply struct {
+		Execution string `json:"execution"`
+	}
+	if len(a.Results) == 0 || json.Unmarshal(a.Results, &reply) != nil {
+		return ""
+	}
+	return reply.Execution
+}
--- a/internal/model/answer.go
+++ b/internal/model/answer.go
@@ -94,4 +94,8 @@
 	Failure    *Failure
 	// RetryAfter is how long the caller should wait after NotRun.
 	RetryAfter time.Duration
+	// Attempts is the number of sub-requests that were sent for the request,
+	// hedges and retries included; Planned is the number without them.
+	Attempts int
+	Planned  int
 }
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -169,6 +169,8 @@
 		Results:    decodeRows(a.GetResults()),
 		OrderReply: a.GetOrderReply(),
 		RetryAfter: time.Duration(a.GetRetryAfterNanos()),
+		Attempts:   int(a.GetAttempts()),
+		Planned:    int(a.GetPlanned()),
 	}
 	if c := a.GetCoverage(); c != nil {
 		out.Coverage = &model.Coverage{
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -173,6 +173,8 @@
 		Results:         encodeRows(a.Results),
 		OrderReply:      a.OrderReply,
 		RetryAfterNanos: int64(a.RetryAfter),
+		Attempts:        int64(a.Attempts),
+		Planned:         int64(a.Planned),
 	}
 	if a.Coverage != nil {
 		out.Coverage = &peerpb.Coverage{
