--- a/cmd/hawthorntack/main.go
+++ b/cmd/hawthorntack/main.go
@@ -50,6 +50,8 @@
 		addDump,
 		addLoad,
 		addVersion,
+		addCtl,
+		addCheck,
 	} {
 		if err := add(parser, std); err != nil {
 			fmt.Fprintln(std.err, err)
