--- a/cmd/hawthorntack/ctl_output.go
+++ b/cmd/hawthorntack/ctl_output.go
@@ -13,13 +13,13 @@
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
-// printJSON prints a reply as indented JSON.
-func printJSON(w io.Writer, reply api.StatementReply) error {
+// printJSON prints a value as indented JSON.
+func printJSON(w io.Writer, value any) error {
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
 	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(reply); err != nil {
-		return fmt.Errorf("print the reply: %w", err)
+	if err := encoder.Encode(value); err != nil {
+		return fmt.Errorf("print JSON: %w", err)
 	}
 	return nil
 }
--- a/cmd/hawthorntack/load.go
+++ b/cmd/hawthorntack/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -72,14 +71,6 @@
 	return printReport(c.std.out, report)
 }
 
-// printJSON prints a value as one line of JSON.
-func printJSON(out io.Writer, value any) error {
-	if err := json.NewEncoder(out).Encode(value); err != nil {
-		return fmt.Errorf("print report: %w", err)
-	}
-	return nil
-}
-
 // printReport prints a load report as a table.
 func printReport(out io.Writer, r load.Report) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
