Experiment command and its registry

Change: internal/experiment with an empty list; the experiment command lists and runs them with a seed and prints a table. Conclusion: each experiment adds itself to the list.

--- a/cmd/hawthorntack/main.go
+++ b/cmd/hawthorntack/main.go
@@ -49,6 +49,7 @@
 		addDemo,
 		addDump,
 		addLoad,
+		addExperiment,
 		addVersion,
 		addCtl,
 		addCheck,
