--- a/cmd/hawthorntack/main.go
+++ b/cmd/hawthorntack/main.go
@@ -48,6 +48,8 @@
 		addNode,
 		addDemo,
 		addDump,
+		addLoad,
+		addExperiment,
 		addVersion,
 		addCtl,
 		addCheck,
