--- a/internal/reducer/config/config.go
+++ b/internal/reducer/config/config.go
@@ -136,3 +136,13 @@
 	ctx.After(tick, timer.Config, 0)
 	return s.spread(ctx, before, "")
 }
+
+// InForceView returns what is known of each host's configuration, ordered by
+// host.
+func (s *State) InForceView(now model.Instant) []membership.HostRevision {
+	return s.hosts.Revisions(now)
+}
+
+// Latest returns the highest contiguous revision that the node knows; it is the
+// one in force here.
+func (s *State) Latest() model.Revision { return s.history.applied() }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -155,6 +155,9 @@
 
 // stepMessage routes a message to the part that owns it.
 func (s *State) stepMessage(ctx *step.Context, from model.HostID, incarnation model.Incarnation, m message.Message) {
+	if s.membership.IsStale(from, incarnation) {
+		return
+	}
 	switch m := m.(type) {
 	case message.Dispatch:
 		s.dispatch.HandleDispatch(ctx, from, m)
@@ -186,3 +189,6 @@
 		s.quarantine.HandlePardon(ctx, m)
 	}
 }
+
+// Config returns the configuration in force. It must not be changed.
+func (s *State) Config() *model.Config { return s.config.InForce() }
