--- a/internal/reducer/query/finish.go
+++ b/internal/reducer/query/finish.go
@@ -61,6 +61,8 @@
 	} else {
 		answer = s.searchAnswer(ctx, r, running)
 	}
+	answer.Planned = r.planned
+	answer.Attempts = r.planned + r.extra
 	s.close(ctx, r)
 	if r.isOrder() {
 		s.sink.OrderDone(ctx, r.order, answer)
--- /dev/null
+++ b/internal/reducer/query/replica/replica_test.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
+)
+
+// now is the time of the choices in these tests.
+const now = model.Instant(time.Hour)
+
+// three returns three equal replicas.
+func three() []*snapshot.Replica {
+	var replicas []*snapshot.Replica
+	for _, id := range []model.UpstreamID{"s/a", "s/b", "s/c"} {
+		replicas = append(replicas, &snapshot.Replica{
+			ID: id, Domain: model.FailureDomain(id[2:]), Reachable: true, FreeSlots: 2, Limit: 2,
+		})
+	}
+	return replicas
+}
+
+// shares counts which replicas are chosen in many draws.
+func shares(table *Table, replicas []*snapshot.Replica, wish Wish) map[model.UpstreamID]int {
+	random := rand.New(rand.NewPCG(3, 4))
+	counts := make(map[model.UpstreamID]int)
+	for range 300 {
+		if chosen := table.Choose(replicas, wish, random); chosen != nil {
+			counts[chosen.ID]++
+		}
+	}
+	return counts
+}
+
+func TestChoice(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(table *Table, replicas []*snapshot.Replica, wish *Wish)
+		never  []model.UpstreamID
+		always []model.UpstreamID
+	}{
+		{"equal replicas share the work", func(*Table, []*snapshot.Replica, *Wish) {}, nil, []model.UpstreamID{"s/a", "s/b", "s/c"}},
+		{"draining", func(_ *Table, r []*snapshot.Replica, _ *Wish) { r[0].Draining = true }, []model.UpstreamID{"s/a"}, nil},
+		{"unreachable", func(_ *Table, r []*snapshot.Replica, _ *Wish) { r[1].Reachable = false }, []model.UpstreamID{"s/b"}, nil},
+		{"tried", func(_ *Table, _ []*snapshot.Replica, w *Wish) { w.Tried = []model.UpstreamID{"s/c"} }, []model.UpstreamID{"s/c"}, nil},
+		{"slow by own observation", func(table *Table, _ []*snapshot.Replica, _ *Wish) {
+			table.Observe("s/a", now, 100*time.Millisecond)
+			table.Observe("s/b", now, 5*time.Millisecond)
+		}, []model.UpstreamID{"s/a"}, []model.UpstreamID{"s/b", "s/c"}},
+		{"no free slot for a hedge", func(_ *Table, r []*snapshot.Replica, w *Wish) {
+			w.FreeSlot = true
+			r[2].FreeSlots = 0
+		}, []model.UpstreamID{"s/c"}, nil},
+		{"own attempts take free slots", func(table *Table, r []*snapshot.Replica, w *Wish) {
+			w.FreeSlot = true
+			table.Sent(r[0])
+			table.Sent(r[0])
+		}, []model.UpstreamID{"s/a"}, nil},
+		{"full queue", func(table *Table, r []*snapshot.Replica, _ *Wish) {
+			r[0].FreeSlots = 0
+			r[0].Queued = 4
+			table.Observe("s/a", now, time.Millisecond)
+			table.Observe("s/b", now, time.Millisecond)
+		}, []model.UpstreamID{"s/a"}, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table, replicas, wish := NewTable(), three(), Wish{Now: now}
+			test.change(table, replicas, &wish)
+			counts := shares(table, replicas, wish)
+			for _, id := range test.never {
+				if counts[id] > 0 {
+					t.Errorf("%s was chosen %d times", id, counts[id])
+				}
+			}
+			for _, id := range test.always {
+				if counts[id] == 0 {
+					t.Errorf("%s was never chosen", id)
+				}
+			}
+		})
+	}
+}
+
+func TestSlowReplicaIsTriedAgainByOneAttempt(t *testing.T) {
+	table, replicas := NewTable(), three()
+	table.Observe("s/a", now, 100*time.Millisecond)
+	table.Observe("s/b", now, 5*time.Millisecond)
+	later := now.Add(10 * forgetTime)
+	if shares(table, replicas, Wish{Now: later})["s/a"] == 0 {
+		t.Fatal("a replica that was slow long ago is never tried")
+	}
+	table.Sent(replicas[0])
+	if got := shares(table, replicas, Wish{Now: later})["s/a"]; got > 0 {
+		t.Fatalf("it was chosen %d times while the first trial is open", got)
+	}
+}
+
+func TestDomainPreference(t *testing.T) {
+	counts := shares(NewTable(), three(), Wish{Now: now, Domain: "b", Avoid: "a"})
+	if counts["s/b"] <= counts["s/c"] || counts["s/a"] >= counts["s/c"] {
+		t.Fatalf("got %v", counts)
+	}
+}
--- a/internal/reducer/query/request.go
+++ b/internal/reducer/query/request.go
@@ -34,6 +34,9 @@
 	// unsettled counts the tasks that are open.
 	unsettled int
 	attempts  []attempt
+	// planned counts the first attempts, and extra all others.
+	planned int
+	extra   int
 	// wakeAt is when the pending timer fires; zero means none.
 	wakeAt model.Instant
 
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -213,7 +213,7 @@
 	if r.mayRepeat(t, m.Status) && s.retry(ctx, r, a.task, a.replica.Domain) {
 		return
 	}
-	if m.Status == message.StatusVersionGone {
+	if m.Status == message.StatusVersionGone && !r.isOrder() {
 		r.versionGone = true
 	}
 	r.settle(t, taskFailed)
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -95,6 +95,11 @@
 	t := &r.tasks[index]
 	t.running++
 	t.sent++
+	if kind == firstAttempt && !r.restarted {
+		r.planned++
+	} else {
+		r.extra++
+	}
 	s.replicas.Sent(chosen)
 	s.transmit(ctx, r, len(r.attempts)-1)
 	return true
@@ -165,13 +170,15 @@
 	})
 }
 
-// cancel takes an attempt back if it is open.
+// cancel takes an attempt back if it is open. Until its result arrives it may
+// have run.
 func (s *State) cancel(ctx *step.Context, r *request, index int) {
 	a := &r.attempts[index]
 	if a.settled {
 		return
 	}
 	s.endAttempt(r, index)
+	r.mayHaveRun = true
 	service := r.serviceOf(&r.tasks[a.task])
 	s.cancelled.add(a.number, cancelledAttempt{service: service.config.Name, print: service.print})
 	ctx.Send(a.dispatcher, message.Cancel{Attempt: s.attemptID(ctx, a.number)})
--- /dev/null
+++ b/internal/reducer/snapshot/snapshot_test.go
@@ -0,0 +1,193 @@
+package snapshot
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// TestMain gives the property tests a fixed seed, so that a run repeats.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// catalogOf returns a catalog and a context for one service of n upstreams.
+func catalogOf(n int) (*Catalog, *step.Context) {
+	service := model.Service{Name: "s"}
+	for i := range n {
+		service.Upstreams = append(service.Upstreams, model.Upstream{ID: model.UpstreamID(fmt.Sprintf("s/u%d", i))})
+	}
+	config := &model.Config{Revision: 1, Services: []model.Service{service}}
+	return NewCatalog(), &step.Context{Now: model.Instant(time.Hour), Config: config}
+}
+
+func counted(ctx *step.Context, metric effect.Metric) int {
+	n := 0
+	for _, e := range ctx.Effects {
+		if c, ok := e.(effect.Count); ok && c.Metric == metric {
+			n++
+		}
+	}
+	return n
+}
+
+func halves(names ...model.ShardID) []model.Shard {
+	return []model.Shard{{ID: names[0], Low: 0, High: 100}, {ID: names[1], Low: 100, High: model.KeySpace}}
+}
+
+func report(i int, observed model.Instant, holdings ...model.Holding) model.IndexReport {
+	return model.IndexReport{
+		Upstream: model.UpstreamID(fmt.Sprintf("s/u%d", i)), Observed: observed,
+		Reachable: true, FreeSlots: 1, Limit: 1, Holdings: holdings,
+	}
+}
+
+func TestMapMustTileTheKeySpace(t *testing.T) {
+	tests := map[string][]model.Shard{
+		"empty":    {},
+		"gap":      {{ID: "a", Low: 0, High: 10}, {ID: "b", Low: 11, High: model.KeySpace}},
+		"overlap":  {{ID: "a", Low: 0, High: 12}, {ID: "b", Low: 11, High: model.KeySpace}},
+		"short":    {{ID: "a", Low: 0, High: 10}},
+		"repeated": {{ID: "a", Low: 0, High: 10}, {ID: "a", Low: 10, High: model.KeySpace}},
+		"no name":  {{Low: 0, High: model.KeySpace}},
+	}
+	for name, shards := range tests {
+		if _, err := NewMap("s", 1, shards); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if _, err := NewMap("s", 1, halves("a", "b")); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestPinTakesNewestOfGreatestCoverage(t *testing.T) {
+	both := []model.ShardID{"a", "b"}
+	tests := []struct {
+		name    string
+		reports []model.IndexReport
+		want    model.Version
+		total   int
+	}{
+		{"newest of equal", []model.IndexReport{
+			report(0, 1, model.Holding{Version: 1, Shards: halves("a", "b"), Holds: both}, model.Holding{Version: 2, Shards: halves("a", "b"), Holds: both}),
+		}, 2, 2},
+		{"older of greater coverage", []model.IndexReport{
+			report(0, 1, model.Holding{Version: 1, Shards: halves("a", "b"), Holds: both}, model.Holding{Version: 2, Shards: halves("a", "b"), Holds: both[:1]}),
+		}, 1, 2},
+		{"more keys, not more shards", []model.IndexReport{
+			report(0, 1, model.Holding{Version: 1, Shards: halves("a", "b"), Holds: both[:1]}, model.Holding{Version: 2, Shards: halves("a", "b"), Holds: both[1:]}),
+		}, 2, 2},
+		{"nothing known", nil, 0, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, ctx := catalogOf(2)
+			for _, r := range test.reports {
+				c.HandleReport(ctx, r)
+			}
+			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]})
+			if pin.Version() != test.want || pin.Len() != test.total {
+				t.Fatalf("pinned %d with %d shards", pin.Version(), pin.Len())
+			}
+		})
+	}
+}
+
+func TestDrainingAndUnreachableAreNotCounted(t *testing.T) {
+	c, ctx := catalogOf(1)
+	r := report(0, 1, model.Holding{Version: 1, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}})
+	r.Draining = true
+	c.HandleReport(ctx, r)
+	if pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}); pin.Searchable() != 0 {
+		t.Fatalf("%d shards of a draining upstream", pin.Searchable())
+	}
+}
+
+func TestOldReportIsIgnoredUntilItsObserverIsGone(t *testing.T) {
+	c, ctx := catalogOf(1)
+	c.HandleReport(ctx, report(0, 10))
+	older := report(0, 5)
+	older.Queued = 7
+	c.HandleReport(ctx, older)
+	if got, _ := c.Report("s/u0"); got.Queued != 0 || counted(ctx, metricStaleReports) != 1 {
+		t.Fatal("an older report was taken")
+	}
+	ctx.Now = ctx.Now.Add(observerTimeout)
+	c.HandleReport(ctx, older)
+	if got, _ := c.Report("s/u0"); got.Queued != 7 {
+		t.Fatal("the next dispatcher's report was not taken")
+	}
+}
+
+func TestConflictingMapsAreResolvedAlikeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []model.IndexReport
+		for i := range 4 {
+			names := rapid.SampledFrom([][]model.ShardID{{"a", "b"}, {"c", "d"}, {"e", "f"}}).Draw(t, "names")
+			reports = append(reports, report(i, 1, model.Holding{Version: 1, Shards: halves(names...), Holds: names}))
+		}
+		var chosen []string
+		for range 2 {
+			c, ctx := catalogOf(4)
+			for _, r := range rapid.Permutation(reports).Draw(t, "order") {
+				c.HandleReport(ctx, r)
+			}
+			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]})
+			chosen = append(chosen, pin.Target(0).Name)
+			for i := range pin.Len() {
+				if len(pin.Target(i).Holders) == 0 {
+					t.Fatal("a chosen map has no holders")
+				}
+			}
+		}
+		if chosen[0] != chosen[1] {
+			t.Fatalf("chose %v by the order of the reports", chosen)
+		}
+	})
+}
+
+func TestMergeTakesOnlyPartsOfItsPin(t *testing.T) {
+	c, ctx := catalogOf(1)
+	c.HandleReport(ctx, report(0, 1, model.Holding{Version: 3, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}}))
+	services := []*model.Service{&ctx.Config.Services[0]}
+	pin, other := c.Pin(ctx, services), c.Pin(ctx, services)
+	row := []model.Row{[]byte("1")}
+	for name, part := range map[string]func() (Part, error){
+		"version": func() (Part, error) { return pin.Part(0, 2, []model.ShardID{"a"}, row) },
+		"shard":   func() (Part, error) { return pin.Part(0, 3, []model.ShardID{"b"}, row) },
+		"rows":    func() (Part, error) { return pin.Part(0, 3, []model.ShardID{"a"}, nil) },
+	} {
+		if _, err := part(); err == nil {
+			t.Errorf("%s: a wrong part was made", name)
+		}
+	}
+	merge := NewMerge(pin)
+	foreign, _ := other.Part(0, 3, []model.ShardID{"a"}, row)
+	if merge.Add(foreign) == nil || merge.Add(Part{}) == nil {
+		t.Error("a part of another query was merged")
+	}
+	good, _ := pin.Part(1, 3, []model.ShardID{"b"}, row)
+	if err := merge.Add(good); err != nil {
+		t.Fatal(err)
+	}
+	if merge.Add(good) == nil {
+		t.Error("a shard was merged twice")
+	}
+	coverage := merge.Coverage()
+	if coverage.Searched != 1 || coverage.Total != 2 || !slices.Equal(coverage.Missing, []string{"s/a"}) {
+		t.Errorf("got %+v", coverage)
+	}
+}
