--- a/internal/reducer/dispatch/connection.go
+++ b/internal/reducer/dispatch/connection.go
@@ -6,7 +6,6 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
-	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
@@ -23,7 +22,8 @@
 	working
 	// controlling connections carry a status read or a cancellation.
 	controlling
-	// ending connections are being closed by either side.
+	// ending connections are being closed by either side; they may still carry a
+	// job.
 	ending
 )
 
@@ -37,6 +37,25 @@
 	job *job
 	// since is when the connection took its state on.
 	since model.Instant
+	// opened is when the connection was opened; zero before.
+	opened model.Instant
+}
+
+// take puts the connection to a use.
+func (c *connection) take(ctx *step.Context, state connectionState) {
+	c.state = state
+	c.since = ctx.Now
+}
+
+// endWork takes in that the connection's job has got its reply.
+func (c *connection) endWork(ctx *step.Context, closing bool) {
+	switch {
+	case c.state == ending:
+	case closing:
+		c.take(ctx, ending)
+	default:
+		c.take(ctx, idle)
+	}
 }
 
 // Opening of connections.
@@ -44,12 +63,12 @@
 	// controlConnections is kept beside the slots for status reads and
 	// cancellations.
 	controlConnections = 1
-	// maxOpening bounds the connections that one lane opens at a time, because
-	// each costs the upstream time.
-	maxOpening = 1
-	// firstBackoff and maxBackoff bound the time between two attempts to connect.
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 1 * time.Second
+	// firstBackoff and longestBackoff bound the time between two attempts to
+	// connect.
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 1 * time.Second
+	// maxDoublings bounds the exponent of the backoff.
+	maxDoublings = 10
 )
 
 // backoff spaces attempts to connect after refusals.
@@ -61,15 +80,18 @@
 
 // fail puts the next attempt off, exponentially and with jitter of one half.
 func (b *backoff) fail(ctx *step.Context) time.Duration {
-	delay := min(maxBackoff, firstBackoff<<min(b.failures, 10))
+	longest := min(longestBackoff, firstBackoff<<min(b.failures, maxDoublings))
 	b.failures++
-	delay = delay/2 + time.Duration(ctx.Random.Int64N(int64(delay/2)))
+	delay := longest/2 + time.Duration(ctx.Random.Int64N(int64(longest/2)))
 	b.until = ctx.Now.Add(delay)
 	return delay
 }
 
 // wantedConnections returns how many connections the lane should have.
-func (l *lane) wantedConnections() int {
+func (s *State) wantedConnections(l *lane) int {
+	if l.owner && s.settings.OpenAll {
+		return l.maxConnections
+	}
 	if l.owner {
 		return min(l.maxConnections, l.slots+controlConnections)
 	}
@@ -79,20 +101,26 @@
 	return min(l.maxConnections, len(l.inFlight)+controlConnections)
 }
 
-// connect opens missing connections, few at a time.
+// connect opens missing connections, few at a time. Connections that are being
+// closed still count.
 func (s *State) connect(ctx *step.Context, l *lane) {
 	if !l.owner || l.opening.until > ctx.Now {
 		return
 	}
-	for len(l.connections) < l.wantedConnections() && l.countState(connecting) < maxOpening {
-		s.nextConnection++
-		c := &connection{id: s.nextConnection, lane: l, state: connecting, since: ctx.Now}
-		l.connections = append(l.connections, c)
-		s.connections[c.id] = c
-		ctx.Emit(effect.OpenConnection{Connection: c.id, Upstream: l.upstream.ID, Address: l.upstream.Address})
+	for len(l.connections) < s.wantedConnections(l) && l.countState(connecting) < s.settings.MaxOpening {
+		s.open(ctx, l)
 	}
 }
 
+// open opens one connection.
+func (s *State) open(ctx *step.Context, l *lane) {
+	s.nextConnection++
+	c := &connection{id: s.nextConnection, lane: l, state: connecting, since: ctx.Now}
+	l.connections = append(l.connections, c)
+	s.connections[c.id] = c
+	ctx.Emit(effect.OpenConnection{Connection: c.id, Upstream: l.upstream.ID, Address: l.upstream.Address})
+}
+
 // countState returns how many connections are in a state.
 func (l *lane) countState(state connectionState) int {
 	count := 0
@@ -111,15 +139,16 @@
 		return
 	}
 	l := c.lane
-	c.state = idle
+	first := !l.isOpen()
+	c.take(ctx, idle)
+	c.opened = ctx.Now
 	l.opening = backoff{}
-	if l.status.observed == 0 {
+	if first {
+		l.limit.StartSlowly(ctx.Now)
 		l.status.due = true
 	}
-	s.trim(ctx, l)
-	s.connect(ctx, l)
-	s.pump(ctx, l)
-	s.reportIfChanged(ctx, l)
+	s.noteProbe(ctx, l, probeOpened)
+	s.proceed(ctx, l)
 }
 
 // HandleClosed takes in the end of a connection.
@@ -129,52 +158,73 @@
 		return
 	}
 	l := c.lane
+	openBefore := l.openConnections()
 	delete(s.connections, c.id)
 	l.connections = slices.DeleteFunc(l.connections, func(other *connection) bool { return other == c })
-	if e.Refused && c.state != ending {
-		s.setConnectTimer(ctx, l, l.opening.fail(ctx))
+	switch {
+	case c.state == connecting && e.Refused:
+		s.connectFailed(ctx, l, c)
+	case c.state == connecting || c.state == ending || e.Mismatch:
+		// The node closed it, or the upstream announced it: no sign of a crash.
+	default:
+		s.noteUnexpectedEnd(ctx, l, openBefore)
 	}
 	if c.job != nil {
-		s.connectionLost(ctx, c.job, e)
+		s.connectionLost(ctx, c, e)
+	}
+	s.proceed(ctx, l)
+}
+
+// connectFailed puts the next attempt to connect off.
+func (s *State) connectFailed(ctx *step.Context, l *lane, c *connection) {
+	delay := l.opening.fail(ctx)
+	l.setTimer(ctx, delay, connectTimer)
+	if ctx.Now.Sub(c.since) < probeTimeout {
+		s.noteProbe(ctx, l, probeRefused)
 	}
-	s.connect(ctx, l)
-	s.pump(ctx, l)
-	s.reportIfChanged(ctx, l)
-	s.removeIfUnused(l)
 }
 
 // connectionLost settles the job of a connection that ended. A job of which not
 // one byte was written goes back to the queue: it has not run.
-func (s *State) connectionLost(ctx *step.Context, j *job, e event.ConnectionClosed) {
-	l := j.lane
-	written := e.Written && e.Attempt == j.request.Attempt
-	if written {
-		s.finish(ctx, j, message.DispatchResult{Status: message.StatusLost, Reason: model.CodeUnavailable})
+func (s *State) connectionLost(ctx *step.Context, c *connection, e event.ConnectionClosed) {
+	j, l := c.job, c.lane
+	if e.Mismatch {
+		ctx.Count(metricMismatched, string(l.upstream.ID.Service()))
+	}
+	if e.Written && e.Attempt == j.request.Attempt {
+		l.limit.Failed(ctx.Now, j.sent)
+		s.lose(ctx, j, c.state != ending && !e.Mismatch)
 		return
 	}
+	ctx.Count(metricRequeued, "")
 	l.removeInFlight(j)
 	j.connection = nil
 	j.alone = false
 	l.queue.Push(&j.waiting)
+	if !l.owner {
+		s.refuseQueued(ctx, l, notOwner())
+	}
 }
 
-// trim closes idle connections over the wanted number.
+// trim closes connections over the wanted number: those that are not open yet
+// first.
 func (s *State) trim(ctx *step.Context, l *lane) {
-	excess := len(l.connections) - l.countState(ending) - l.wantedConnections()
-	for _, c := range l.connections {
-		if excess <= 0 {
-			return
-		}
-		if c.state == idle || c.state == connecting {
-			s.close(ctx, c)
-			excess--
+	excess := len(l.connections) - l.countState(ending) - s.wantedConnections(l)
+	for _, state := range [...]connectionState{connecting, idle} {
+		for _, c := range l.connections {
+			if excess <= 0 {
+				return
+			}
+			if c.state == state {
+				s.close(ctx, c)
+				excess--
+			}
 		}
 	}
 }
 
-// close ends a connection that carries no job.
+// close ends a connection.
 func (s *State) close(ctx *step.Context, c *connection) {
-	c.state = ending
-	c.since = ctx.Now
+	c.take(ctx, ending)
 	ctx.Emit(effect.CloseConnection{Connection: c.id})
 }
--- a/internal/reducer/dispatch/dispatch.go
+++ b/internal/reducer/dispatch/dispatch.go
@@ -8,52 +8,82 @@
 package dispatch
 
 import (
+	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
+// component names the package in logs.
+const component = "dispatch"
+
+// Counters.
+const (
+	metricRefused    effect.Metric = "dispatch_refused_total"
+	metricMismatched effect.Metric = "dispatch_mismatched_replies_total"
+	metricLost       effect.Metric = "dispatch_lost_total"
+	metricCrashes    effect.Metric = "dispatch_upstream_crashes_total"
+	metricRequeued   effect.Metric = "dispatch_requeued_total"
+	metricShed       effect.Metric = "dispatch_shed_total"
+	metricDrains     effect.Metric = "dispatch_drains_total"
+)
+
 // Placement tells which nodes dispatch for an upstream.
 type Placement interface {
 	Dispatchers(upstream model.UpstreamID, members []model.Member) []model.HostID
+	// MaxDispatchers returns how many nodes dispatch for one upstream while
+	// enough members are known.
+	MaxDispatchers() int
 }
 
 // State holds one lane for each upstream that this node dispatches for.
 type State struct {
 	placement Placement
+	settings  Settings
 	// lanes is ordered by upstream.
 	lanes       []*lane
 	byUpstream  map[model.UpstreamID]*lane
 	byNumber    map[uint64]*lane
 	connections map[model.ConnectionID]*connection
 	jobs        map[model.AttemptID]*job
-	// members is the hosts that the reports were last sent to.
-	members        []model.HostID
+	// members lists the hosts that know this node's reports.
+	members []model.HostID
+	// listed holds the upstreams that the platform says are leaving.
+	listed map[model.UpstreamID]bool
+	// configured holds the upstreams of the configuration last seen.
+	configured     map[model.UpstreamID]bool
 	nextLane       uint64
 	nextConnection model.ConnectionID
 }
 
-// New returns a state without connections.
-func New(placement Placement) *State {
+// New returns a state without connections and with the default settings.
+func New(placement Placement) *State { return NewWith(placement, Settings{}) }
+
+// NewWith returns a state without connections.
+func NewWith(placement Placement, settings Settings) *State {
 	return &State{
 		placement:   placement,
+		settings:    settings.withDefaults(),
 		byUpstream:  make(map[model.UpstreamID]*lane),
 		byNumber:    make(map[uint64]*lane),
 		connections: make(map[model.ConnectionID]*connection),
 		jobs:        make(map[model.AttemptID]*job),
+		listed:      make(map[model.UpstreamID]bool),
+		configured:  make(map[model.UpstreamID]bool),
 	}
 }
 
-// HandleDispatch runs, queues or refuses a sub-request of a coordinator.
+// HandleDispatch runs, queues or refuses a sub-request of a coordinator. A
+// sub-request that is already queued or sent is not taken on again.
 func (s *State) HandleDispatch(ctx *step.Context, from model.HostID, m message.Dispatch) {
 	if _, known := s.jobs[m.Attempt]; known {
 		return
 	}
-	j := newJob(ctx, from, m)
+	j := s.newJob(ctx, from, m)
 	l := s.byUpstream[m.Upstream]
 	if l == nil || !l.owner {
-		j.reply(ctx, message.DispatchResult{Status: message.StatusNotOwner, Reason: model.CodeUnavailable})
+		j.reply(ctx, notOwner())
 		return
 	}
 	s.accept(ctx, l, j)
@@ -86,17 +116,22 @@
 	}
 	l, j := c.lane, c.job
 	c.job = nil
-	if e.Closing {
-		c.state = ending
-	} else {
-		c.state = idle
-	}
-	l.observeReply(ctx, j, e)
+	c.endWork(ctx, e.Closing)
+	s.observeReply(ctx, l, j, e)
 	s.finish(ctx, j, resultOf(l, e))
+	s.proceed(ctx, l)
+}
+
+// proceed uses what has become free on a lane: it gives queued work back if the
+// upstream drains, closes surplus connections, opens missing ones, sends what
+// can be sent, and reports.
+func (s *State) proceed(ctx *step.Context, l *lane) {
 	s.refuseIfDraining(ctx, l)
 	s.trim(ctx, l)
+	s.connect(ctx, l)
 	s.pump(ctx, l)
 	s.reportIfChanged(ctx, l)
+	s.removeIfUnused(l)
 }
 
 // InFlight returns the number of sub-requests that are queued or sent.
--- a/internal/reducer/dispatch/dispatch_test.go
+++ b/internal/reducer/dispatch/dispatch_test.go
@@ -11,12 +11,18 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
-// ready returns a connected dispatcher.
+// ready returns a connected dispatcher that has left slow start.
 func ready(t *testing.T, slots int) *bench {
 	t.Helper()
 	b := newBench(t, slots)
 	b.configure()
 	b.connect()
+	for range slots {
+		b.dispatch(nil)
+		sent := b.sent()
+		b.now = b.now.Add(time.Millisecond)
+		b.reply(sent, nil)
+	}
 	return b
 }
 
@@ -98,7 +104,9 @@
 }
 
 func TestRefusesWhatCannotMakeItsDeadline(t *testing.T) {
-	b := ready(t, 1)
+	b := newBench(t, 1)
+	b.configure()
+	b.connect()
 	b.dispatch(nil)
 	first := b.sent()
 	b.now = b.now.Add(50 * time.Millisecond)
@@ -181,3 +189,182 @@
 		t.Error("idle connections were kept")
 	}
 }
+
+func TestSlowStartAfterConnecting(t *testing.T) {
+	b := newBench(t, 3)
+	b.configure()
+	b.connect()
+	b.dispatch(nil)
+	first := b.sent()
+	b.dispatch(nil)
+	b.dispatch(nil)
+	if len(b.sentAttempts()) != 0 {
+		t.Fatal("a second sub-request was sent to a cold upstream")
+	}
+	b.now = b.now.Add(time.Millisecond)
+	b.reply(first, nil)
+	if got := len(b.sentAttempts()); got != 2 {
+		t.Errorf("%d sub-requests sent after the first answer, want 2", got)
+	}
+}
+
+func TestSlowServiceTimeDoesNotRefuseForever(t *testing.T) {
+	b := newBench(t, 1)
+	b.configure()
+	b.connect()
+	b.dispatch(nil)
+	b.now = b.now.Add(800 * time.Millisecond)
+	b.reply(b.sent(), nil)
+	short := func(m *message.Dispatch) { m.TimeLeft = int64(100 * time.Millisecond) }
+	b.dispatch(short)
+	if got := b.result(); got.Reason != model.CodeDeadline {
+		t.Fatalf("result = %+v", got)
+	}
+	b.now = b.now.Add(serviceTimeAge)
+	b.dispatch(short)
+	b.sent()
+}
+
+func TestIsolatedWorkRunsAlone(t *testing.T) {
+	b := ready(t, 2)
+	b.dispatch(nil)
+	first := b.sent()
+	suspect := b.dispatch(func(m *message.Dispatch) {
+		m.Isolate = true
+		m.TimeLeft = int64(500 * time.Millisecond)
+	})
+	behind := b.dispatch(nil)
+	if len(b.sentAttempts()) != 0 {
+		t.Fatal("work was sent beside work that waits for isolation")
+	}
+	b.now = b.now.Add(time.Millisecond)
+	b.reply(first, nil)
+	isolated := b.sent()
+	if isolated.Attempt != suspect {
+		t.Fatalf("sent %v, want the isolated %v", isolated.Attempt, suspect)
+	}
+	b.reply(isolated, nil)
+	if got := b.result(); !got.Alone {
+		t.Errorf("result = %+v, want alone", got)
+	}
+	if got := b.sent().Attempt; got != behind {
+		t.Errorf("sent %v, want %v", got, behind)
+	}
+}
+
+func TestWorkIsNeverAloneBesideAnotherDispatcher(t *testing.T) {
+	b := newBench(t, 2)
+	b.placement.hosts = []model.HostID{self, coordinator}
+	b.configure()
+	b.connect()
+	b.dispatch(func(m *message.Dispatch) { m.Isolate = true })
+	b.reply(b.sent(), nil)
+	if got := b.result(); got.Alone {
+		t.Errorf("result = %+v, but another node may have sent work", got)
+	}
+}
+
+func TestMismatchedReplyLosesItsAttempt(t *testing.T) {
+	b := ready(t, 1)
+	attempt := b.dispatch(nil)
+	sent := b.sent()
+	b.closed(event.ConnectionClosed{Connection: sent.Connection, Attempt: attempt, Written: true, Mismatch: true})
+	if got := b.result(); got.Status != message.StatusLost || got.Crash {
+		t.Errorf("result = %+v, want lost without a crash", got)
+	}
+	counted := false
+	for _, c := range of[effect.Count](b.effects) {
+		counted = counted || c.Metric == metricMismatched
+	}
+	if !counted {
+		t.Error("the mismatch was not counted")
+	}
+}
+
+func TestShedWorkHalvesTheLimitAndIsNotRun(t *testing.T) {
+	b := ready(t, 4)
+	b.dispatch(nil)
+	b.reply(b.sent(), func(e *event.UpstreamReply) { e.Status = event.UpstreamShed })
+	got := b.result()
+	if !got.Status.NotRun() || got.FreeSlots != 2 {
+		t.Errorf("result = %+v, want not run and 2 free slots of 4", got)
+	}
+}
+
+func TestTakeoverKeepsToHalfOfTheSlots(t *testing.T) {
+	b := newBench(t, 4)
+	b.placement.hosts = []model.HostID{coordinator}
+	b.configure()
+	b.placement.hosts = []model.HostID{self}
+	b.configure()
+	b.connect()
+	lane := b.state.byUpstream[upstreamA]
+	for range 4 {
+		lane.limit.Answered(b.now)
+	}
+	if got := lane.freeSlots(b.now); got != 2 {
+		t.Fatalf("%d free slots after a takeover, want 2 of 4", got)
+	}
+	if got := lane.freeSlots(b.now.Add(takeoverHold)); got != 4 {
+		t.Errorf("%d free slots after the hold, want 4", got)
+	}
+}
+
+func TestTakeoverHoldEndsWhenTheUpstreamIsUnused(t *testing.T) {
+	b := newBench(t, 4)
+	b.placement.hosts = []model.HostID{coordinator}
+	b.configure()
+	b.placement.hosts = []model.HostID{self}
+	b.configure()
+	b.connect()
+	lane := b.state.byUpstream[upstreamA]
+	if !lane.limit.IsHeld(b.now) {
+		t.Fatal("the status of the first moment ended the hold")
+	}
+	b.advance(takeoverProbe)
+	b.connect()
+	if lane.limit.IsHeld(b.now) {
+		t.Error("the hold goes on though the upstream reports no work")
+	}
+}
+
+func TestOverdueWorkIsCancelledAndThenCutOff(t *testing.T) {
+	b := ready(t, 1)
+	attempt := b.dispatch(func(m *message.Dispatch) { m.TimeLeft = int64(100 * time.Millisecond) })
+	sent := b.sent()
+	b.advance(100*time.Millisecond + statusInterval)
+	b.connect()
+	lane := b.state.byUpstream[upstreamA]
+	if !lane.inFlight[0].cancelled {
+		t.Error("overdue work was not cancelled")
+	}
+	effects := b.advance(overdueGrace + statusInterval)
+	closed := false
+	for _, e := range of[effect.CloseConnection](effects) {
+		closed = closed || e.Connection == sent.Connection
+	}
+	if !closed {
+		t.Fatal("the connection of overdue work was kept")
+	}
+	b.closed(event.ConnectionClosed{Connection: sent.Connection, Attempt: attempt, Written: true})
+	if got := b.result(); got.Status != message.StatusLost || got.Crash {
+		t.Errorf("result = %+v, want lost without a crash", got)
+	}
+}
+
+func TestLostCoordinator(t *testing.T) {
+	b := ready(t, 2)
+	b.dispatch(nil)
+	b.sent()
+	b.dispatch(func(m *message.Dispatch) { m.Repeatable = false })
+	order := b.sent()
+	b.dispatch(nil)
+	b.step(func(ctx *step.Context) { b.state.HandlePeerLost(ctx, coordinator) })
+	cancels := of[effect.CancelUpstream](b.effects)
+	if len(cancels) != 1 || cancels[0].Attempt == order.Attempt {
+		t.Errorf("cancels = %+v, want only the repeatable work", cancels)
+	}
+	if got := b.result(); got.Status != message.StatusTakenBack {
+		t.Errorf("queued work: %+v", got)
+	}
+}
--- a/internal/reducer/dispatch/harness_test.go
+++ b/internal/reducer/dispatch/harness_test.go
@@ -35,6 +35,8 @@
 	return p.hosts
 }
 
+func (p *fixedPlacement) MaxDispatchers() int { return len(p.hosts) }
+
 const (
 	self        = model.HostID("n1")
 	coordinator = model.HostID("n2")
--- a/internal/reducer/dispatch/job.go
+++ b/internal/reducer/dispatch/job.go
@@ -14,13 +14,10 @@
 type job struct {
 	request message.Dispatch
 	// from is the coordinator.
-	from    model.HostID
-	lane    *lane
-	arrived model.Instant
+	from model.HostID
+	lane *lane
 	// deadline is when the answer is due, on this node's clock.
 	deadline model.Instant
-	// startBy is when the wait for a slot ends.
-	startBy model.Instant
 	// waiting is the job's place in the lane's queue.
 	waiting queue.Entry[*job]
 	// connection carries the job once it is sent; nil before.
@@ -33,18 +30,19 @@
 }
 
 // newJob returns a job that is neither queued nor sent.
-func newJob(ctx *step.Context, from model.HostID, m message.Dispatch) *job {
+func (s *State) newJob(ctx *step.Context, from model.HostID, m message.Dispatch) *job {
 	j := &job{
 		request:  m,
 		from:     from,
-		arrived:  ctx.Now,
 		deadline: ctx.Now.Add(time.Duration(m.TimeLeft)),
 	}
-	j.startBy = j.deadline
-	if m.MaxQueueWait > 0 {
-		j.startBy = min(j.deadline, ctx.Now.Add(time.Duration(m.MaxQueueWait)))
+	j.waiting = queue.Entry[*job]{Deadline: j.deadline, Expiry: j.deadline, Value: j}
+	if m.MaxQueueWait > 0 && !s.settings.NoEarlyRefusal {
+		j.waiting.Expiry = min(j.deadline, ctx.Now.Add(time.Duration(m.MaxQueueWait)))
+	}
+	if s.settings.Order == ArrivalOrder {
+		j.waiting.Deadline = ctx.Now
 	}
-	j.waiting = queue.Entry[*job]{Deadline: j.deadline, Value: j}
 	return j
 }
 
@@ -72,7 +70,6 @@
 	case event.UpstreamShed:
 		result.Status = message.StatusRefused
 		result.Reason = model.CodeOverloaded
-		result.RetryAfter = max(result.RetryAfter, int64(l.retryAfter()))
 	case event.UpstreamVersionGone:
 		result.Status = message.StatusVersionGone
 	case event.UpstreamCancelled:
@@ -85,7 +82,7 @@
 	return result
 }
 
-// latestStart returns the time after which the job is not sent any more.
-func (j *job) latestStart(l *lane) model.Instant {
-	return min(j.startBy, j.deadline.Add(-l.service.mean))
+// refused returns the result of a job that was never written.
+func refused(reason model.Code) *message.DispatchResult {
+	return &message.DispatchResult{Status: message.StatusRefused, Reason: reason}
 }
--- a/internal/reducer/dispatch/lane.go
+++ b/internal/reducer/dispatch/lane.go
@@ -6,6 +6,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch/limit"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch/queue"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
@@ -18,6 +19,8 @@
 	// owner is true while this node dispatches for the upstream. A lane without
 	// ownership finishes what is in flight and closes its connections.
 	owner bool
+	// part is this node's place among the upstream's dispatchers.
+	part share
 	// slots is this node's share of the upstream's slots.
 	slots int
 	// maxConnections is this node's share of the upstream's connections.
@@ -25,14 +28,16 @@
 
 	connections []*connection
 	inFlight    []*job
-	queue       queue.Queue[*job]
-	// queueTimer is when the queue's timer is due; zero if none is set.
+	queue       *queue.Queue[*job]
+	// queueTimer is when the queue's timer is due.
 	queueTimer model.Instant
-
-	service serviceTime
-	opening backoff
 	// cancels lists sent jobs that the upstream should stop.
-	cancels  []*job
+	cancels []*job
+
+	limit    limit.Limit
+	service  serviceTime
+	opening  backoff
+	collapse collapse
 	status   status
 	reported report
 }
@@ -40,13 +45,29 @@
 // serviceTime follows the time that the upstream takes for a sub-request.
 type serviceTime struct {
 	mean time.Duration
+	// observed is the time of the last observation.
+	observed model.Instant
 }
 
-// serviceTimeGain is the weight of a new observation in the moving average.
-const serviceTimeGain = 0.1
+const (
+	// serviceTimeGain is the weight of a new observation in the moving average.
+	serviceTimeGain = 0.1
+	// serviceTimeAge is the age at which the average is no longer used: work that
+	// is refused because of it would never renew it.
+	serviceTimeAge = 1 * time.Second
+)
+
+// expected returns the service time to expect; zero if none is known.
+func (s *serviceTime) expected(now model.Instant) time.Duration {
+	if now.Sub(s.observed) >= serviceTimeAge {
+		return 0
+	}
+	return s.mean
+}
 
 // observe adds one service time.
-func (s *serviceTime) observe(elapsed time.Duration) {
+func (s *serviceTime) observe(now model.Instant, elapsed time.Duration) {
+	s.observed = now
 	if s.mean == 0 {
 		s.mean = elapsed
 		return
@@ -54,30 +75,34 @@
 	s.mean += time.Duration(serviceTimeGain * float64(elapsed-s.mean))
 }
 
-// limit returns how many sub-requests may be in flight now.
-func (l *lane) limit() int { return l.slots }
-
 // freeSlots returns how many more sub-requests may be sent now.
-func (l *lane) freeSlots() int {
-	if !l.owner || l.isDraining() {
+func (l *lane) freeSlots(now model.Instant) int {
+	if !l.owner || l.isDraining() || l.isIsolated() {
 		return 0
 	}
-	return max(0, l.limit()-len(l.inFlight))
+	return max(0, l.limit.Current(now)-len(l.inFlight))
 }
 
-// retryAfter returns the time in which the upstream works off the queue.
-func (l *lane) retryAfter() time.Duration {
-	return l.expectedWait(l.queue.Len())
+// isIsolated reports whether a job is in flight that nothing may run beside.
+func (l *lane) isIsolated() bool {
+	for _, j := range l.inFlight {
+		if j.request.Isolate {
+			return true
+		}
+	}
+	return false
 }
 
 // expectedWait returns how long a job waits for a slot when ahead jobs are
 // served before it.
-func (l *lane) expectedWait(ahead int) time.Duration {
-	busy := len(l.inFlight) + ahead - l.limit() + 1
+func (l *lane) expectedWait(now model.Instant, ahead int) time.Duration {
+	slots := max(1, l.limit.Current(now))
+	pause := max(0, l.limit.PausedUntil().Sub(now))
+	busy := len(l.inFlight) + ahead + 1 - slots
 	if busy <= 0 {
-		return 0
+		return pause
 	}
-	return time.Duration(busy) * l.service.mean / time.Duration(max(1, l.limit()))
+	return pause + time.Duration(busy)*l.service.expected(now)/time.Duration(slots)
 }
 
 // jobsOf returns the jobs of one coordinator, in a repeatable order.
@@ -88,11 +113,11 @@
 			jobs = append(jobs, j)
 		}
 	}
-	l.queue.Each(func(e *queue.Entry[*job]) {
+	for _, e := range l.queue.Entries() {
 		if e.Value.from == host {
 			jobs = append(jobs, e.Value)
 		}
-	})
+	}
 	return jobs
 }
 
@@ -111,29 +136,34 @@
 	return nil
 }
 
-// isOpen reports whether the lane has any usable connection.
-func (l *lane) isOpen() bool {
-	for _, c := range l.connections {
-		if c.state != connecting && c.state != ending {
-			return true
-		}
-	}
-	return false
+// openConnections counts the connections that are open and not being closed.
+func (l *lane) openConnections() int {
+	return len(l.connections) - l.countState(connecting) - l.countState(ending)
 }
 
+// isOpen reports whether the lane has any usable connection.
+func (l *lane) isOpen() bool { return l.openConnections() > 0 }
+
 // isUnreachable reports whether the last attempt to connect failed and no
 // connection is left.
 func (l *lane) isUnreachable() bool { return l.opening.failures > 0 && !l.isOpen() }
 
 // observeReply learns from an upstream's reply.
-func (l *lane) observeReply(ctx *step.Context, j *job, e event.UpstreamReply) {
-	if e.Status == event.UpstreamAnswered {
-		l.service.observe(ctx.Now.Sub(j.sent))
+func (s *State) observeReply(ctx *step.Context, l *lane, j *job, e event.UpstreamReply) {
+	switch e.Status {
+	case event.UpstreamAnswered:
+		l.service.observe(ctx.Now, ctx.Now.Sub(j.sent))
+		l.limit.Answered(ctx.Now)
+	case event.UpstreamShed:
+		ctx.Count(metricShed, "")
+		l.limit.Shed(ctx.Now, j.sent, e.RetryAfter)
+		s.setPauseTimer(ctx, l)
+	case event.UpstreamFailed:
+		l.limit.Failed(ctx.Now, j.sent)
+	case event.UpstreamVersionGone:
+		l.status.due = true
 	}
 	if e.Draining {
-		l.status.drainSeen(ctx.Now, drainByReply)
-	}
-	if e.Status == event.UpstreamVersionGone {
-		l.status.due = true
+		s.drainSeen(ctx, l, drainByReply)
 	}
 }
--- a/internal/reducer/dispatch/ownership.go
+++ b/internal/reducer/dispatch/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -10,25 +11,41 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
+const (
+	// takeoverHold is how long a new dispatcher keeps to half of its slots,
+	// because the previous one may not know yet that it is not one any more.
+	takeoverHold = 500 * time.Millisecond
+	// takeoverProbe is when a new dispatcher asks the upstream whether others
+	// still use it.
+	takeoverProbe = 100 * time.Millisecond
+)
+
 // HandleConfig brings the lanes in line with the configuration and the
 // membership in force.
 func (s *State) HandleConfig(ctx *step.Context) {
 	members := ctx.View.Members()
 	owned := make(map[model.UpstreamID]bool, len(s.lanes))
+	configured := make(map[model.UpstreamID]bool, len(s.configured))
 	for i := range ctx.Config.Services {
 		service := &ctx.Config.Services[i]
 		for _, upstream := range service.Upstreams {
+			configured[upstream.ID] = true
 			dispatchers := s.placement.Dispatchers(upstream.ID, members)
 			rank := slices.Index(dispatchers, ctx.Self.Host)
 			if rank < 0 {
 				continue
 			}
 			owned[upstream.ID] = true
-			s.own(ctx, service, upstream, share{rank: rank, dispatchers: len(dispatchers)})
+			s.own(ctx, service, upstream, share{
+				rank:           rank,
+				dispatchers:    len(dispatchers),
+				maxDispatchers: s.placement.MaxDispatchers(),
+			})
 		}
 	}
+	s.configured = configured
 	for _, l := range slices.Clone(s.lanes) {
-		if !owned[l.upstream.ID] {
+		if l.owner && !owned[l.upstream.ID] {
 			s.disown(ctx, l)
 		}
 	}
@@ -46,27 +63,45 @@
 	if l == nil {
 		l = s.addLane(ctx, upstream.ID)
 	}
+	takeover := !l.owner && s.configured[upstream.ID]
 	l.owner = true
 	l.upstream = upstream
 	l.policy = service.Policy
+	l.part = part
 	l.slots = part.slots(upstream.Slots)
 	l.maxConnections = part.connections(upstream.Connections)
-	s.refuseIfDraining(ctx, l)
-	s.trim(ctx, l)
-	s.connect(ctx, l)
-	s.pump(ctx, l)
-	s.reportIfChanged(ctx, l)
+	l.limit.SetCeiling(l.slots)
+	if takeover {
+		s.holdSlots(ctx, l)
+	}
+	s.proceed(ctx, l)
+}
+
+// holdSlots keeps to half of the slots for a while after a takeover.
+func (s *State) holdSlots(ctx *step.Context, l *lane) {
+	l.limit.Hold(l.slots/2, ctx.Now, takeoverHold)
+	l.setTimer(ctx, takeoverProbe, takeoverTimer)
+	l.setTimer(ctx, takeoverHold, takeoverTimer)
+}
+
+// endHoldIfUnused ends a takeover hold when the upstream reports no work but
+// this node's. The report of the first moments does not count, because the
+// previous dispatcher may only just be learning of the change.
+func (s *State) endHoldIfUnused(ctx *step.Context, l *lane) {
+	if l.limit.HeldSince(ctx.Now) >= takeoverProbe && l.status.inFlight <= len(l.inFlight) {
+		l.limit.EndHold()
+	}
 }
 
 // addLane adds a lane for an upstream.
 func (s *State) addLane(ctx *step.Context, id model.UpstreamID) *lane {
 	s.nextLane++
-	l := &lane{number: s.nextLane}
-	l.status.due = true
+	l := &lane{number: s.nextLane, queue: queue.New[*job]()}
+	l.upstream.ID = id
+	l.status.listed = s.listed[id]
 	at, _ := slices.BinarySearchFunc(s.lanes, id, func(l *lane, id model.UpstreamID) int {
 		return cmp.Compare(l.upstream.ID, id)
 	})
-	l.upstream.ID = id
 	s.lanes = slices.Insert(s.lanes, at, l)
 	s.byUpstream[id] = l
 	s.byNumber[l.number] = l
@@ -78,11 +113,17 @@
 // coordinators as not run, what was sent runs to its end.
 func (s *State) disown(ctx *step.Context, l *lane) {
 	l.owner = false
-	s.refuseQueued(ctx, l, message.DispatchResult{Status: message.StatusNotOwner, Reason: model.CodeUnavailable})
+	s.refuseQueued(ctx, l, notOwner())
 	s.trim(ctx, l)
 	s.removeIfUnused(l)
 }
 
+// notOwner returns the result of a job for an upstream that this node does not
+// dispatch for.
+func notOwner() message.DispatchResult {
+	return message.DispatchResult{Status: message.StatusNotOwner, Reason: model.CodeUnavailable}
+}
+
 // refuseIfDraining gives queued jobs back when the upstream is leaving.
 func (s *State) refuseIfDraining(ctx *step.Context, l *lane) {
 	if l.isDraining() {
@@ -93,17 +134,15 @@
 // refuseQueued ends all queued jobs with a result that says that they did not
 // run.
 func (s *State) refuseQueued(ctx *step.Context, l *lane, result message.DispatchResult) {
-	var queued []*job
-	l.queue.Each(func(e *queue.Entry[*job]) { queued = append(queued, e.Value) })
-	for _, j := range queued {
-		s.finish(ctx, j, result)
+	for _, e := range l.queue.Entries() {
+		s.finish(ctx, e.Value, result)
 	}
 }
 
 // removeIfUnused forgets a lane that this node does not own once its last
-// connection has ended.
+// connection has ended and its last job is settled.
 func (s *State) removeIfUnused(l *lane) {
-	if l.owner || len(l.connections) > 0 {
+	if l.owner || len(l.connections) > 0 || len(l.collapse.suspects) > 0 {
 		return
 	}
 	s.forget(l)
--- a/internal/reducer/dispatch/queue/queue.go
+++ b/internal/reducer/dispatch/queue/queue.go
@@ -1,5 +1,6 @@
 // Package queue holds work that waits for a slot, earliest deadline first. Any
-// entry can be taken back while it waits.
+// entry can be taken back while it waits, and the entry whose wait ends first is
+// found without a search.
 package queue
 
 import (
@@ -8,115 +9,145 @@
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
-// Entry is waiting work. Its owner sets Deadline and Value before Push.
+// Entry is waiting work. Its owner sets the exported fields before Push.
 type Entry[T any] struct {
 	// Deadline orders the queue.
 	Deadline model.Instant
-	Value    T
-	// order keeps entries of one deadline in the order of arrival.
+	// Expiry is when the wait ends.
+	Expiry model.Instant
+	Value  T
+	// order keeps entries of one time in the order of arrival.
 	order uint64
-	// position is the index in the heap plus one; zero when not queued.
-	position int
+	// positions are the indexes in the two heaps.
+	positions [keys]int
+	queued    bool
 }
 
 // Queued reports whether the entry is in a queue.
-func (e *Entry[T]) Queued() bool { return e.position > 0 }
+func (e *Entry[T]) Queued() bool { return e.queued }
 
-// Queue orders entries by deadline. The zero value is empty.
+// key is what a heap is ordered by.
+type key int
+
+const (
+	byDeadline key = iota
+	byExpiry
+	keys
+)
+
+// at returns the time that a heap orders the entry by.
+func (e *Entry[T]) at(k key) model.Instant {
+	if k == byExpiry {
+		return e.Expiry
+	}
+	return e.Deadline
+}
+
+// Queue orders entries by deadline. Use New.
 type Queue[T any] struct {
-	entries entryHeap[T]
-	next    uint64
+	heaps [keys]entryHeap[T]
+	next  uint64
+}
+
+// New returns an empty queue.
+func New[T any]() *Queue[T] {
+	q := &Queue[T]{}
+	for k := range q.heaps {
+		q.heaps[k].key = key(k)
+	}
+	return q
 }
 
 // Len returns the number of entries.
-func (q *Queue[T]) Len() int { return len(q.entries) }
+func (q *Queue[T]) Len() int { return len(q.heaps[byDeadline].entries) }
 
 // Push adds an entry that is in no queue.
 func (q *Queue[T]) Push(e *Entry[T]) {
 	q.next++
 	e.order = q.next
-	heap.Push(&q.entries, e)
-}
-
-// Peek returns the entry with the earliest deadline, or nil.
-func (q *Queue[T]) Peek() *Entry[T] {
-	if len(q.entries) == 0 {
-		return nil
+	e.queued = true
+	for k := range q.heaps {
+		heap.Push(&q.heaps[k], e)
 	}
-	return q.entries[0]
 }
 
-// Pop removes and returns the entry with the earliest deadline, or nil.
-func (q *Queue[T]) Pop() *Entry[T] {
-	if len(q.entries) == 0 {
-		return nil
-	}
-	return heap.Pop(&q.entries).(*Entry[T])
-}
+// First returns the entry with the earliest deadline, or nil.
+func (q *Queue[T]) First() *Entry[T] { return q.heaps[byDeadline].first() }
 
-// Remove takes an entry back. It reports false if the entry is not queued.
+// FirstExpiry returns the entry with the earliest expiry, or nil.
+func (q *Queue[T]) FirstExpiry() *Entry[T] { return q.heaps[byExpiry].first() }
+
+// Remove takes an entry out. It reports false if the entry is not queued.
 func (q *Queue[T]) Remove(e *Entry[T]) bool {
-	if !e.Queued() {
+	if !e.queued {
 		return false
 	}
-	heap.Remove(&q.entries, e.position-1)
+	e.queued = false
+	for k := range q.heaps {
+		heap.Remove(&q.heaps[k], e.positions[k])
+	}
 	return true
 }
 
-// Ahead returns how many entries have a deadline no later than the given one,
-// counted up to limit.
-func (q *Queue[T]) Ahead(deadline model.Instant, limit int) int {
-	return q.entries.ahead(0, deadline, limit)
+// Ahead returns how many entries have a deadline no later than the given one.
+func (q *Queue[T]) Ahead(deadline model.Instant) int {
+	return q.heaps[byDeadline].ahead(0, deadline)
 }
 
-// Each calls visit for every entry, in no particular but a repeatable order.
-func (q *Queue[T]) Each(visit func(*Entry[T])) {
-	for _, e := range q.entries {
-		visit(e)
-	}
+// Entries returns the entries in a repeatable order.
+func (q *Queue[T]) Entries() []*Entry[T] {
+	return append([]*Entry[T](nil), q.heaps[byDeadline].entries...)
 }
 
 // entryHeap implements heap.Interface.
-type entryHeap[T any] []*Entry[T]
+type entryHeap[T any] struct {
+	key     key
+	entries []*Entry[T]
+}
+
+// first returns the least entry, or nil.
+func (h *entryHeap[T]) first() *Entry[T] {
+	if len(h.entries) == 0 {
+		return nil
+	}
+	return h.entries[0]
+}
 
-// ahead counts the entries below position i that are due by the deadline. It
-// skips the subtrees of entries that are due later.
-func (h entryHeap[T]) ahead(i int, deadline model.Instant, limit int) int {
-	if i >= len(h) || limit <= 0 || h[i].Deadline > deadline {
+// ahead counts the entries from position i downwards that are due by the
+// deadline. It skips the subtrees of entries that are due later.
+func (h *entryHeap[T]) ahead(i int, deadline model.Instant) int {
+	if i >= len(h.entries) || h.entries[i].at(h.key) > deadline {
 		return 0
 	}
-	count := 1
-	count += h.ahead(2*i+1, deadline, limit-count)
-	count += h.ahead(2*i+2, deadline, limit-count)
-	return count
+	return 1 + h.ahead(2*i+1, deadline) + h.ahead(2*i+2, deadline)
 }
 
-func (h entryHeap[T]) Len() int { return len(h) }
+func (h *entryHeap[T]) Len() int { return len(h.entries) }
 
-func (h entryHeap[T]) Less(i, j int) bool {
-	if h[i].Deadline != h[j].Deadline {
-		return h[i].Deadline < h[j].Deadline
+func (h *entryHeap[T]) Less(i, j int) bool {
+	a, b := h.entries[i], h.entries[j]
+	if a.at(h.key) != b.at(h.key) {
+		return a.at(h.key) < b.at(h.key)
 	}
-	return h[i].order < h[j].order
+	return a.order < b.order
 }
 
-func (h entryHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position = i + 1
-	h[j].position = j + 1
+func (h *entryHeap[T]) Swap(i, j int) {
+	h.entries[i], h.entries[j] = h.entries[j], h.entries[i]
+	h.entries[i].positions[h.key] = i
+	h.entries[j].positions[h.key] = j
 }
 
 func (h *entryHeap[T]) Push(x any) {
 	e := x.(*Entry[T])
-	*h = append(*h, e)
-	e.position = len(*h)
+	e.positions[h.key] = len(h.entries)
+	h.entries = append(h.entries, e)
 }
 
 func (h *entryHeap[T]) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	e.position = 0
+	last := len(h.entries) - 1
+	e := h.entries[last]
+	h.entries[last] = nil
+	h.entries = h.entries[:last]
 	return e
 }
--- /dev/null
+++ b/internal/reducer/dispatch/queue/queue_test.go
@@ -0,0 +1,79 @@
+package queue
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// TestQueueAgainstAList compares the queue with a plain list over arbitrary
+// pushes and removals.
+func TestQueueAgainstAList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[int]()
+		var list []*Entry[int]
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			if len(list) > 0 && rapid.Bool().Draw(t, "remove") {
+				i := rapid.IntRange(0, len(list)-1).Draw(t, "index")
+				if !q.Remove(list[i]) || q.Remove(list[i]) {
+					t.Fatal("an entry was not removed exactly once")
+				}
+				list = append(list[:i], list[i+1:]...)
+			} else {
+				e := &Entry[int]{
+					Deadline: model.Instant(rapid.IntRange(0, 20).Draw(t, "deadline")),
+					Expiry:   model.Instant(rapid.IntRange(0, 20).Draw(t, "expiry")),
+				}
+				q.Push(e)
+				list = append(list, e)
+			}
+			compare(t, q, list)
+		}
+	})
+}
+
+// compare checks the queue's answers against a search of the list.
+func compare(t *rapid.T, q *Queue[int], list []*Entry[int]) {
+	if q.Len() != len(list) {
+		t.Fatalf("%d entries, want %d", q.Len(), len(list))
+	}
+	var first, expires *Entry[int]
+	ahead := 0
+	const probe = model.Instant(10)
+	for _, e := range list {
+		if first == nil || e.Deadline < first.Deadline {
+			first = e
+		}
+		if expires == nil || e.Expiry < expires.Expiry {
+			expires = e
+		}
+		if e.Deadline <= probe {
+			ahead++
+		}
+	}
+	if first != nil && q.First().Deadline != first.Deadline {
+		t.Fatalf("first deadline %d, want %d", q.First().Deadline, first.Deadline)
+	}
+	if expires != nil && q.FirstExpiry().Expiry != expires.Expiry {
+		t.Fatalf("first expiry %d, want %d", q.FirstExpiry().Expiry, expires.Expiry)
+	}
+	if got := q.Ahead(probe); got != ahead {
+		t.Fatalf("%d entries ahead, want %d", got, ahead)
+	}
+}
+
+func TestArrivalOrderAmongEqualDeadlines(t *testing.T) {
+	q := New[int]()
+	for i := range 20 {
+		q.Push(&Entry[int]{Deadline: 5, Value: i})
+	}
+	for i := range 20 {
+		e := q.First()
+		q.Remove(e)
+		if e.Value != i {
+			t.Fatalf("entry %d came at place %d", e.Value, i)
+		}
+	}
+}
--- a/internal/reducer/dispatch/report.go
+++ b/internal/reducer/dispatch/report.go
@@ -27,9 +27,9 @@
 		Holdings:  l.status.holdings,
 		Draining:  l.isDraining(),
 		Reachable: l.isOpen(),
-		FreeSlots: l.freeSlots(),
+		FreeSlots: l.freeSlots(ctx.Now),
 		Queued:    l.queue.Len(),
-		Limit:     l.limit(),
+		Limit:     max(1, l.limit.Current(ctx.Now)),
 	}
 }
 
--- a/internal/reducer/dispatch/schedule.go
+++ b/internal/reducer/dispatch/schedule.go
@@ -4,15 +4,15 @@
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch/queue"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
 // accept sends a job, queues it, or refuses it.
 func (s *State) accept(ctx *step.Context, l *lane, j *job) {
 	j.lane = l
-	if refusal := l.refusalOf(ctx, j); refusal != nil {
-		l.fill(refusal)
+	if refusal := s.refusalOf(ctx, l, j); refusal != nil {
+		ctx.Count(metricRefused, string(refusal.Reason))
+		l.fill(ctx, refusal)
 		j.reply(ctx, *refusal)
 		return
 	}
@@ -22,39 +22,42 @@
 }
 
 // refusalOf returns why a new job cannot be taken on, or nil.
-func (l *lane) refusalOf(ctx *step.Context, j *job) *message.DispatchResult {
+func (s *State) refusalOf(ctx *step.Context, l *lane, j *job) *message.DispatchResult {
+	free := l.freeSlots(ctx.Now)
 	switch {
 	case l.isDraining() || l.isUnreachable():
 		return refused(model.CodeUnavailable)
-	case j.request.Hedge && (l.freeSlots() == 0 || l.queue.Len() > 0 || l.idleConnection() == nil):
+	case j.request.Hedge && (free <= l.queue.Len() || l.idleConnection() == nil):
 		return refused(model.CodeOverloaded)
-	case l.freeSlots() > l.queue.Len():
+	case free > l.queue.Len():
 		return nil
 	case l.policy.QueueLimit > 0 && l.queue.Len() >= l.policy.QueueLimit:
 		return refused(model.CodeOverloaded)
+	case s.settings.NoEarlyRefusal:
+		return nil
 	}
-	wait := l.expectedWait(l.queue.Ahead(j.deadline, l.queue.Len()))
-	start := ctx.Now.Add(wait)
-	if start.Add(l.service.mean) > j.deadline {
+	return l.lateness(ctx, j)
+}
+
+// lateness refuses a job that would start too late, given the queue before it
+// and the recent service time.
+func (l *lane) lateness(ctx *step.Context, j *job) *message.DispatchResult {
+	start := ctx.Now.Add(l.expectedWait(ctx.Now, l.queue.Ahead(j.waiting.Deadline)))
+	if start.Add(l.service.expected(ctx.Now)) > j.deadline {
 		return refused(model.CodeDeadline)
 	}
-	if start > j.startBy {
+	if start > j.waiting.Expiry {
 		return refused(model.CodeOverloaded)
 	}
 	return nil
 }
 
-// refused returns the result of a job that was never written.
-func refused(reason model.Code) *message.DispatchResult {
-	return &message.DispatchResult{Status: message.StatusRefused, Reason: reason}
-}
-
 // fill adds what a result tells of the lane.
-func (l *lane) fill(result *message.DispatchResult) {
-	result.FreeSlots = l.freeSlots()
+func (l *lane) fill(ctx *step.Context, result *message.DispatchResult) {
+	result.FreeSlots = l.freeSlots(ctx.Now)
 	result.Queued = l.queue.Len()
-	if result.Status == message.StatusRefused && result.RetryAfter == 0 {
-		result.RetryAfter = int64(l.retryAfter())
+	if result.Status == message.StatusRefused {
+		result.RetryAfter = max(result.RetryAfter, int64(l.expectedWait(ctx.Now, l.queue.Len())))
 	}
 }
 
@@ -64,33 +67,51 @@
 	l.queue.Remove(&j.waiting)
 	l.removeInFlight(j)
 	delete(s.jobs, j.request.Attempt)
-	result.Alone = j.alone
-	l.fill(&result)
+	if result.Status == message.StatusRefused {
+		ctx.Count(metricRefused, string(result.Reason))
+	}
+	result.Alone = l.ranAlone(j)
+	l.fill(ctx, &result)
 	j.reply(ctx, result)
 }
 
+// ranAlone reports whether nothing else can have run on the upstream beside a
+// sent job: no other job of this node, and no other node dispatches for it.
+func (l *lane) ranAlone(j *job) bool {
+	return j.alone && l.owner && l.part.isSole()
+}
+
 // pump uses the idle connections: for cancellations and status reads first, then
 // for queued jobs while there are free slots.
 func (s *State) pump(ctx *step.Context, l *lane) {
 	s.sendControl(ctx, l)
 	s.dropLate(ctx, l)
-	for l.freeSlots() > 0 && l.queue.Len() > 0 {
-		c := l.idleConnection()
-		if c == nil {
-			break
-		}
-		s.send(ctx, l, c, l.queue.Pop().Value)
+	for l.canSendNext(ctx.Now) {
+		j := l.queue.First().Value
+		l.queue.Remove(&j.waiting)
+		s.send(ctx, l, l.idleConnection(), j)
 	}
 	s.setQueueTimer(ctx, l)
 }
 
+// canSendNext reports whether the first queued job may be sent now. A job that
+// asks for isolation waits until nothing else is in flight, and holds back those
+// behind it.
+func (l *lane) canSendNext(now model.Instant) bool {
+	first := l.queue.First()
+	if first == nil || l.freeSlots(now) == 0 || l.idleConnection() == nil {
+		return false
+	}
+	return !first.Value.request.Isolate || len(l.inFlight) == 0
+}
+
 // send writes a job on an idle connection.
 func (s *State) send(ctx *step.Context, l *lane, c *connection, j *job) {
-	c.state = working
+	c.take(ctx, working)
 	c.job = j
 	j.connection = c
 	j.sent = ctx.Now
-	j.alone = len(l.inFlight) == 0
+	j.alone = len(l.inFlight) == 0 && !l.limit.IsHeld(ctx.Now)
 	for _, other := range l.inFlight {
 		other.alone = false
 	}
@@ -123,19 +144,33 @@
 	s.pump(ctx, j.lane)
 }
 
-// dropLate refuses the queued jobs whose time to start has passed.
+// dropLate refuses the queued jobs that cannot be answered in time any more or
+// whose wait has ended.
 func (s *State) dropLate(ctx *step.Context, l *lane) {
-	var late []*job
-	l.queue.Each(func(e *queue.Entry[*job]) {
-		if e.Value.latestStart(l) <= ctx.Now {
-			late = append(late, e.Value)
+	for {
+		first := l.queue.FirstExpiry()
+		if first == nil || first.Expiry > ctx.Now {
+			break
 		}
-	})
-	for _, j := range late {
 		reason := model.CodeOverloaded
-		if j.startBy == j.deadline {
+		if first.Expiry == first.Value.deadline {
 			reason = model.CodeDeadline
 		}
-		s.finish(ctx, j, *refused(reason))
+		s.finish(ctx, first.Value, *refused(reason))
+	}
+	for {
+		first := l.queue.First()
+		if first == nil || s.latestStart(ctx, l, first.Value) > ctx.Now {
+			break
+		}
+		s.finish(ctx, first.Value, *refused(model.CodeDeadline))
+	}
+}
+
+// latestStart returns the time after which the deadline cannot be met.
+func (s *State) latestStart(ctx *step.Context, l *lane, j *job) model.Instant {
+	if s.settings.NoEarlyRefusal {
+		return j.deadline
 	}
+	return j.deadline.Add(-l.service.expected(ctx.Now))
 }
--- a/internal/reducer/dispatch/status.go
+++ b/internal/reducer/dispatch/status.go
@@ -16,8 +16,8 @@
 	// statusTimeout ends a status read or a cancellation whose reply does not
 	// come, together with its connection.
 	statusTimeout = 1 * time.Second
-	// drainHold is how long a drain signal holds against a status that does not
-	// repeat it, because the status may lag.
+	// drainHold is how long the drain signal of a reply holds against a status
+	// that does not repeat it, because the status may lag.
 	drainHold = 10 * time.Second
 )
 
@@ -50,9 +50,12 @@
 }
 
 // drainSeen keeps the upstream's own announcement that it is leaving.
-func (s *status) drainSeen(now model.Instant, sign drainSign) {
-	s.announced = now
-	s.announcedBy = sign
+func (s *State) drainSeen(ctx *step.Context, l *lane, sign drainSign) {
+	if !l.isDraining() {
+		ctx.Count(metricDrains, string(sign))
+	}
+	l.status.announced = ctx.Now
+	l.status.announcedBy = sign
 }
 
 // drainingBy returns the sign by which the upstream is leaving, or empty.
@@ -76,26 +79,22 @@
 func (s *State) sendControl(ctx *step.Context, l *lane) {
 	for len(l.cancels) > 0 {
 		j := l.cancels[0]
-		if s.jobs[j.request.Attempt] != j {
-			l.cancels = l.cancels[1:]
-			continue
-		}
 		c := l.idleConnection()
-		if c == nil {
+		if j.connection != nil && c == nil {
 			return
 		}
 		l.cancels = l.cancels[1:]
-		c.state = controlling
-		c.since = ctx.Now
-		ctx.Emit(effect.CancelUpstream{Connection: c.id, Attempt: j.request.Attempt})
+		if j.connection != nil {
+			c.take(ctx, controlling)
+			ctx.Emit(effect.CancelUpstream{Connection: c.id, Attempt: j.request.Attempt})
+		}
 	}
 	if !l.status.due || !l.owner {
 		return
 	}
 	if c := l.idleConnection(); c != nil {
 		l.status.due = false
-		c.state = controlling
-		c.since = ctx.Now
+		c.take(ctx, controlling)
 		ctx.Emit(effect.ReadUpstreamStatus{Connection: c.id})
 	}
 }
@@ -107,24 +106,25 @@
 		return
 	}
 	l := c.lane
-	c.state = idle
+	c.take(ctx, idle)
 	l.status.observed = ctx.Now
 	l.status.holdings = e.Holdings
 	l.status.inFlight = e.InFlight
-	l.status.observeDraining(ctx.Now, e.Draining)
-	s.afterControl(ctx, l)
+	s.observeDraining(ctx, l, e.Draining)
+	s.endHoldIfUnused(ctx, l)
+	s.proceed(ctx, l)
 }
 
-// observeDraining takes in what a status says; silence lifts an older
+// observeDraining takes in what a status says; silence lifts a reply's
 // announcement only after drainHold.
-func (s *status) observeDraining(now model.Instant, draining bool) {
+func (s *State) observeDraining(ctx *step.Context, l *lane, draining bool) {
 	if draining {
-		s.drainSeen(now, drainByStatus)
+		s.drainSeen(ctx, l, drainByStatus)
 		return
 	}
-	if s.announcedBy == drainByStatus || now.Sub(s.announced) >= drainHold {
-		s.announced = 0
-		s.announcedBy = ""
+	if l.status.announcedBy == drainByStatus || ctx.Now.Sub(l.status.announced) >= drainHold {
+		l.status.announced = 0
+		l.status.announcedBy = ""
 	}
 }
 
@@ -134,31 +134,25 @@
 	if c == nil || c.state != controlling {
 		return
 	}
-	c.state = idle
-	s.afterControl(ctx, c.lane)
-}
-
-// afterControl uses a connection that has become idle again.
-func (s *State) afterControl(ctx *step.Context, l *lane) {
-	s.refuseIfDraining(ctx, l)
-	s.trim(ctx, l)
-	s.pump(ctx, l)
-	s.reportIfChanged(ctx, l)
+	c.take(ctx, idle)
+	s.proceed(ctx, c.lane)
 }
 
 // HandleLeaving stops new work to upstreams that the platform says are leaving.
 func (s *State) HandleLeaving(ctx *step.Context, upstreams []model.UpstreamID) {
-	listed := make(map[model.UpstreamID]bool, len(upstreams))
+	s.listed = make(map[model.UpstreamID]bool, len(upstreams))
 	for _, id := range upstreams {
-		listed[id] = true
+		s.listed[id] = true
 	}
 	for _, l := range s.lanes {
-		if l.status.listed == listed[l.upstream.ID] {
+		listed := s.listed[l.upstream.ID]
+		if l.status.listed == listed {
 			continue
 		}
-		l.status.listed = listed[l.upstream.ID]
-		s.refuseIfDraining(ctx, l)
-		s.pump(ctx, l)
-		s.reportIfChanged(ctx, l)
+		if listed && !l.isDraining() {
+			ctx.Count(metricDrains, string(drainByPlatform))
+		}
+		l.status.listed = listed
+		s.proceed(ctx, l)
 	}
 }
--- a/internal/reducer/dispatch/timers.go
+++ b/internal/reducer/dispatch/timers.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch/queue"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
 )
@@ -18,9 +16,21 @@
 	periodTimer timerKind = iota
 	connectTimer
 	queueTimer
+	pauseTimer
+	collapseTimer
+	takeoverTimer
 	timerKinds
 )
 
+const (
+	// overdueGrace is how long a sent job may outlive its deadline before its
+	// connection is closed, so that its slot does not stay taken for good.
+	overdueGrace = 1 * time.Second
+	// orderGrace is the same for work that must run at most once: its late reply
+	// still settles what became of it.
+	orderGrace = 30 * time.Second
+)
+
 // setTimer sets one of a lane's timers.
 func (l *lane) setTimer(ctx *step.Context, d time.Duration, kind timerKind) {
 	ctx.After(d, timer.Dispatch, l.number*uint64(timerKinds)+uint64(kind))
@@ -33,20 +43,21 @@
 	l.setTimer(ctx, statusInterval-jitter, periodTimer)
 }
 
-// setConnectTimer sets the timer of the next attempt to connect.
-func (s *State) setConnectTimer(ctx *step.Context, l *lane, d time.Duration) {
-	l.setTimer(ctx, d, connectTimer)
+// setPauseTimer sets a timer for the end of the limit's pause.
+func (s *State) setPauseTimer(ctx *step.Context, l *lane) {
+	if pause := l.limit.PausedUntil().Sub(ctx.Now); pause > 0 {
+		l.setTimer(ctx, pause, pauseTimer)
+	}
 }
 
 // setQueueTimer sets a timer for the first job whose time to start ends.
 func (s *State) setQueueTimer(ctx *step.Context, l *lane) {
-	var first model.Instant
-	l.queue.Each(func(e *queue.Entry[*job]) {
-		if at := e.Value.latestStart(l); first == 0 || at < first {
-			first = at
-		}
-	})
-	if first == 0 || l.queueTimer > ctx.Now && l.queueTimer <= first {
+	if l.queue.Len() == 0 {
+		return
+	}
+	first := min(l.queue.FirstExpiry().Expiry, s.latestStart(ctx, l, l.queue.First().Value))
+	first = max(first, ctx.Now)
+	if l.queueTimer > ctx.Now && l.queueTimer <= first {
 		return
 	}
 	l.queueTimer = first
@@ -64,7 +75,13 @@
 		s.handlePeriod(ctx, l)
 	case connectTimer:
 		s.connect(ctx, l)
-	case queueTimer:
+	case queueTimer, pauseTimer:
+		s.pump(ctx, l)
+	case collapseTimer:
+		s.judgeCollapse(ctx, l)
+		s.proceed(ctx, l)
+	case takeoverTimer:
+		l.status.due = true
 		s.pump(ctx, l)
 	}
 }
@@ -74,9 +91,8 @@
 	s.setPeriodTimer(ctx, l)
 	l.status.due = true
 	s.closeHanging(ctx, l)
-	s.connect(ctx, l)
-	s.pump(ctx, l)
-	s.reportIfChanged(ctx, l)
+	s.endOverdue(ctx, l)
+	s.proceed(ctx, l)
 	s.refreshReport(ctx, l)
 }
 
@@ -89,3 +105,29 @@
 		}
 	}
 }
+
+// endOverdue cancels sent jobs that have outlived their deadlines, and in the end
+// closes their connections.
+func (s *State) endOverdue(ctx *step.Context, l *lane) {
+	for _, j := range l.inFlight {
+		overdue := ctx.Now.Sub(j.deadline)
+		if overdue <= 0 || j.connection.state == ending {
+			continue
+		}
+		if j.request.Repeatable && !j.cancelled {
+			j.cancelled = true
+			l.cancels = append(l.cancels, j)
+		}
+		if overdue >= graceOf(j) {
+			s.close(ctx, j.connection)
+		}
+	}
+}
+
+// graceOf returns how long a sent job may outlive its deadline.
+func graceOf(j *job) time.Duration {
+	if j.request.Repeatable {
+		return overdueGrace
+	}
+	return orderGrace
+}
--- a/internal/reducer/entry/placement.go
+++ b/internal/reducer/entry/placement.go
@@ -29,6 +29,10 @@
 	return hosts
 }
 
+// MaxDispatchers returns how many nodes dispatch for one upstream while enough
+// members are known.
+func (s *State) MaxDispatchers() int { return s.settings.Dispatchers }
+
 // placementOrder lists the states in the order in which members are preferred.
 var placementOrder = [...]model.MemberState{model.Serving, model.Starting, model.Suspected, model.Leaving}
 
