Reducer: permission, resolved durations and differences of changes

Cause: a limited operator could change any service; a state dump held key hashes; a dry run printed the whole configuration. Change: proposals carry the operator's permission, checked against the configuration that they are applied to; dry runs give the difference; dumps leave key hashes out.

--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -39,7 +39,7 @@
 	// User limits the operator to one user's services; empty means all users.
 	User UserID `json:"user,omitempty"`
 	// KeyHash is the hash of the operator's key; the key itself is never kept.
-	KeyHash string `json:"key_hash"`
+	KeyHash string `json:"key_hash,omitempty"`
 }
 
 // Conviction refuses a request content that crashes upstreams.
@@ -124,6 +124,17 @@
 	}
 }
 
+// WithoutKeys returns the configuration without the operators' key hashes, for
+// dumps and logs.
+func (c *Config) WithoutKeys() *Config {
+	shown := *c
+	shown.Operators = make([]Operator, len(c.Operators))
+	for i, operator := range c.Operators {
+		shown.Operators[i] = Operator{Name: operator.Name, User: operator.User}
+	}
+	return &shown
+}
+
 // Service returns the named service, or nil.
 func (c *Config) Service(name ServiceName) *Service {
 	for i := range c.Services {
--- a/internal/reducer/config/propose.go
+++ b/internal/reducer/config/propose.go
@@ -83,7 +83,7 @@
 		return
 	}
 	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
-		Outcome: effect.DryRun, Revision: s.history.applied(), Text: statement.Print(next),
+		Outcome: effect.DryRun, Revision: s.history.applied(), Text: statement.Diff(s.history.config, next),
 	}})
 }
 
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -27,7 +27,7 @@
 		State:          string(s.lifecycle.state),
 		Members:        s.membership.Members(),
 		Revision:       ctx.Config.Revision,
-		Config:         ctx.Config,
+		Config:         ctx.Config.WithoutKeys(),
 		KnownUpstreams: s.catalog.Len(),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -152,7 +152,8 @@
 		s.answerQuestions(ctx, e, script.Questions)
 		return
 	}
-	s.config.HandleStatement(ctx, e, script)
+	e.Text, script = statement.Resolve(e.Text, script, ctx.Now)
+	s.config.HandleStatement(ctx, e, statement.Permit(script, e.Operator))
 }
 
 // answerQuestions answers an operator's questions from the node's own state.
