--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -89,6 +89,7 @@
 		quarantine: quarantine.New(),
 		entry:      entry.New(settings.Entry),
 	}
+	s.config.SetHosts(s.membership)
 	s.dispatch = dispatch.New(s.entry)
 	s.query = query.New(query.Parts{
 		Catalog:    s.catalog,
@@ -154,6 +155,9 @@
 
 // stepMessage routes a message to the part that owns it.
 func (s *State) stepMessage(ctx *step.Context, from model.HostID, incarnation model.Incarnation, m message.Message) {
+	if s.membership.IsStale(from, incarnation) {
+		return
+	}
 	switch m := m.(type) {
 	case message.Dispatch:
 		s.dispatch.HandleDispatch(ctx, from, m)
@@ -185,3 +189,6 @@
 		s.quarantine.HandlePardon(ctx, m)
 	}
 }
+
+// Config returns the configuration in force. It must not be changed.
+func (s *State) Config() *model.Config { return s.config.InForce() }
