Query: admit a request for all of its services at once

Cause: a search over many services counted many times against its user and could pass the node's limit half-way. Change: the coordinator calls AdmitAll and ReleaseAll. Conclusion: all-or-nothing admission in one place.

--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -146,9 +146,7 @@
 	for i := range r.attempts {
 		s.cancel(ctx, r, i)
 	}
-	for i := range r.services {
-		s.parts.Admission.Release(ctx, r.services[i].config)
-	}
+	s.parts.Admission.ReleaseAll(ctx, r.serviceConfigs())
 	delete(s.requests, r.number)
 	if !r.isOrder() {
 		delete(s.calls, r.call)
--- a/internal/reducer/query/request.go
+++ b/internal/reducer/query/request.go
@@ -144,3 +144,13 @@
 	t.hedgeAt = 0
 	r.unsettled--
 }
+
+// serviceConfigs returns the request's services as they were when it was
+// admitted.
+func (r *request) serviceConfigs() []*model.Service {
+	configs := make([]*model.Service, len(r.services))
+	for i := range r.services {
+		configs[i] = r.services[i].config
+	}
+	return configs
+}
--- a/internal/reducer/query/search.go
+++ b/internal/reducer/query/search.go
@@ -133,14 +133,7 @@
 		failure := model.Failf(model.CodeOverloaded, "the node has %d open requests", len(s.requests))
 		return &refusal{failure: failure, retryAfter: defaultRetryAfter}
 	}
-	for i, service := range selected {
-		refused := s.parts.Admission.Admit(ctx, service)
-		if refused == nil {
-			continue
-		}
-		for _, admitted := range selected[:i] {
-			s.parts.Admission.Release(ctx, admitted)
-		}
+	if refused := s.parts.Admission.AdmitAll(ctx, selected); refused != nil {
 		return &refusal{failure: refused.Failure, retryAfter: refused.RetryAfter}
 	}
 	return nil
