Sessions: final outcomes, limits, expiry and handover; outcomes by ledger

Cause: a resend after a refusal, an expiry, a stop or a full table could start an order again, and a restarted search could be called not run although cancelled attempts may have run. Change: an identifier has one outcome, refusals included; session numbers tell their age, so that expired ones need no record; limits per session and node with typed refusals that stay; a sealed home hands its sessions over in parts and ends the handover for one successor at most; forwards are sent again to a home that could not be reached. The outcome "not run" comes from outcome.Ledger alone, and a test reads the reducer's code to keep it so; query counts its attempts there.

--- /dev/null
+++ b/internal/outcome/outcome_test.go
@@ -0,0 +1,108 @@
+package outcome
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// statuses lists all that a dispatcher may say.
+var statuses = []message.DispatchStatus{
+	message.StatusAnswered, message.StatusRefused, message.StatusVersionGone, message.StatusFailed,
+	message.StatusLost, message.StatusTakenBack, message.StatusNotOwner,
+}
+
+// TestNotRunNeedsProof checks that a request counts as not run only if each
+// hand-over was settled by a status that proves it.
+func TestNotRunNeedsProof(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ledger Ledger
+		open, proven := 0, true
+		for range rapid.IntRange(0, 12).Draw(t, "steps") {
+			if open == 0 || rapid.Bool().Draw(t, "hand over") {
+				ledger.HandOver()
+				open++
+				continue
+			}
+			open--
+			if rapid.Bool().Draw(t, "lost") {
+				ledger.Lose()
+				proven = false
+				continue
+			}
+			status := rapid.SampledFrom(statuses).Draw(t, "status")
+			ledger.Settle(status)
+			proven = proven && status.NotRun()
+		}
+		want := model.Unknown
+		if open == 0 && proven {
+			want = model.NotRun
+		}
+		if got := ledger.End(Reason{}).Outcome; got != want {
+			t.Fatalf("got %s, want %s", got, want)
+		}
+	})
+}
+
+// TestUnexpectedWordProvesNothing checks that a word on an attempt that was never
+// handed over does not make a later one count as settled.
+func TestUnexpectedWordProvesNothing(t *testing.T) {
+	var ledger Ledger
+	ledger.Settle(message.StatusRefused)
+	if got := ledger.End(Reason{}).Outcome; got != model.Unknown {
+		t.Fatalf("got %s", got)
+	}
+}
+
+// TestNotRunIsBuiltOnlyByTheLedger checks that no part of the reducer makes the
+// outcome "not run" without a ledger: comparing with it is allowed.
+func TestNotRunIsBuiltOnlyByTheLedger(t *testing.T) {
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(filepath.Join(root, "internal", "reducer"), func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			field, ok := n.(*ast.KeyValueExpr)
+			if ok && isNotRun(field.Value) {
+				t.Errorf("%s builds model.NotRun without a ledger", path)
+			}
+			assign, ok := n.(*ast.AssignStmt)
+			if ok {
+				for _, value := range assign.Rhs {
+					if isNotRun(value) {
+						t.Errorf("%s assigns model.NotRun without a ledger", path)
+					}
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// isNotRun reports whether an expression is model.NotRun.
+func isNotRun(e ast.Expr) bool {
+	selector, ok := e.(*ast.SelectorExpr)
+	if !ok || selector.Sel.Name != "NotRun" {
+		return false
+	}
+	name, ok := selector.X.(*ast.Ident)
+	return ok && name.Name == "model"
+}
--- a/internal/reducer/entry/entry.go
+++ b/internal/reducer/entry/entry.go
@@ -71,7 +71,7 @@
 	if ctx.Self.State == model.Leaving {
 		return model.SessionID{}
 	}
-	s.opened++
+	s.opened = model.NextSessionNumber(ctx.Now, s.opened)
 	return model.SessionID{Host: ctx.Self.Host, Incarnation: ctx.Self.Incarnation, Number: s.opened}
 }
 
--- a/internal/reducer/query/finish.go
+++ b/internal/reducer/query/finish.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/outcome"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -125,15 +126,18 @@
 	if reason == "" {
 		reason = model.CodeDeadline
 	}
-	if r.mayHaveRun || running {
-		answer.Outcome = model.Unknown
+	ended := outcome.Reason{
+		ID:         r.requestID,
+		Failure:    model.Failf(reason, "no upstream ran the request"),
+		RetryAfter: max(r.retryAfter, leastRetryAfter),
+	}
+	if !r.ledger.Untouched() {
 		if running {
 			reason = model.CodeDeadline
 		}
-		answer.Failure = model.Failf(reason, "the request may have run, and its reply did not arrive")
-		return
+		ended.Failure = model.Failf(reason, "the request may have run, and its reply did not arrive")
 	}
-	answer.Outcome = model.NotRun
-	answer.RetryAfter = max(r.retryAfter, leastRetryAfter)
-	answer.Failure = model.Failf(reason, "no upstream ran the request")
+	coverage, snapshot := answer.Coverage, answer.Snapshot
+	*answer = r.ledger.End(ended)
+	answer.Coverage, answer.Snapshot = coverage, snapshot
 }
--- a/internal/reducer/query/request.go
+++ b/internal/reducer/query/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/outcome"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 )
 
@@ -46,8 +47,8 @@
 	restarted bool
 	// versionGone is true when a task failed for want of the pinned version.
 	versionGone bool
-	// mayHaveRun is true once the work may have run on an upstream.
-	mayHaveRun bool
+	// ledger tells whether the work may have reached an upstream.
+	ledger outcome.Ledger
 	// reason and retryAfter are those of the last refusal.
 	reason     model.Code
 	retryAfter time.Duration
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -91,9 +91,7 @@
 		return
 	}
 	s.endAttempt(r, index)
-	if !m.Status.NotRun() {
-		r.mayHaveRun = true
-	}
+	r.ledger.Settle(m.Status)
 	if m.Crash {
 		s.handleCrash(ctx, r, a, m)
 	}
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -96,6 +96,7 @@
 	t.running++
 	t.sent++
 	s.replicas.Sent(chosen)
+	r.ledger.HandOver()
 	s.transmit(ctx, r, len(r.attempts)-1)
 	return true
 }
@@ -172,6 +173,7 @@
 		return
 	}
 	s.endAttempt(r, index)
+	r.ledger.Lose()
 	service := r.serviceOf(&r.tasks[a.task])
 	s.cancelled.add(a.number, cancelledAttempt{service: service.config.Name, print: service.print})
 	ctx.Send(a.dispatcher, message.Cancel{Attempt: s.attemptID(ctx, a.number)})
--- a/internal/reducer/query/search.go
+++ b/internal/reducer/query/search.go
@@ -7,6 +7,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/outcome"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -162,11 +163,8 @@
 
 // answer returns what a caller gets for a refusal.
 func (f *refusal) answer(id model.RequestID) model.Answer {
-	return model.Answer{
-		RequestID:  id,
-		Outcome:    model.NotRun,
-		Coverage:   f.coverage,
-		Failure:    f.failure,
-		RetryAfter: f.retryAfter,
-	}
+	var fresh outcome.Ledger
+	answer := fresh.End(outcome.Reason{ID: id, Failure: f.failure, RetryAfter: f.retryAfter})
+	answer.Coverage = f.coverage
+	return answer
 }
--- a/internal/reducer/session/table.go
+++ b/internal/reducer/session/table.go
@@ -1,103 +1,181 @@
 package session
 
 import (
+	"cmp"
 	"slices"
-	"time"
 
-	"github.com/hawthorntack/hawthorntack/internal/effect"
-	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
-// session holds the orders of one session by sequence number.
+// Estimated memory of the records, in bytes; BenchmarkSessionBytes measures it.
+const (
+	sessionBytes = 192
+	orderBytes   = 320
+)
+
+// role is what this node may do with a home's sessions.
+type role uint8
+
+// The roles.
+const (
+	// active homes start orders.
+	active role = iota + 1
+	// sealed homes start no order any more and still give outcomes.
+	sealed
+	// ended homes are sealed and will never be handed over.
+	ended
+)
+
+// String returns the name that the state dump shows.
+func (r role) String() string {
+	switch r {
+	case active:
+		return "active"
+	case sealed:
+		return "sealed"
+	default:
+		return "ended"
+	}
+}
+
+// origin names the node, and its life, that opened sessions.
+type origin struct {
+	host        model.HostID
+	incarnation model.Incarnation
+}
+
+// originOf returns the origin of a session.
+func originOf(id model.SessionID) origin {
+	return origin{host: id.Host, incarnation: id.Incarnation}
+}
+
+// compareOrigins orders origins by host and incarnation.
+func compareOrigins(a, b origin) int {
+	return cmp.Or(cmp.Compare(a.host, b.host), cmp.Compare(a.incarnation, b.incarnation))
+}
+
+// home holds the sessions of one origin on the node that answers for them: the
+// origin itself, or its successor.
+type home struct {
+	origin origin
+	role   role
+	// generation counts the handovers.
+	generation uint64
+	// issued is the highest session number given out; on the origin itself it
+	// follows the entry part.
+	issued uint64
+	// The floors only rise. Sessions at or below closed that have no record take
+	// no order; those at or below aged take no new order; those at or below
+	// expired have lost their outcomes.
+	closed, aged, expired uint64
+	sessions              map[uint64]*session
+}
+
+// session is the record of one session.
 type session struct {
-	orders map[uint64]*order
+	// acknowledged is the highest sequence number whose outcomes were given up:
+	// by the caller's word, or for lack of room.
+	acknowledged uint64
+	// highest is the highest sequence number with a record so far.
+	highest uint64
+	// refused is the highest sequence number up to which an order without a
+	// record never starts.
+	refused uint64
+	running int
+	// orders is sorted by sequence number, all above acknowledged.
+	orders []*order
 }
 
-// order is the record of one order. It is made before the order starts, so that
-// no second start can follow.
+// order is the record of one order. It is made before the order starts.
 type order struct {
+	sequence uint64
 	// print tells a resend from another request under the same identifier.
 	print model.Fingerprint
-	done  bool
-	// answer is the outcome once done.
-	answer  model.Answer
+	// answer is the outcome; nil while the order runs.
+	answer  *model.Answer
 	waiters []waiter
+	// dropped is true once the record has left its session.
+	dropped bool
 }
 
-// waiter is a call that gets an order's outcome.
-type waiter struct {
-	// from is the node that forwarded the order; empty for a caller of this node.
-	from    model.HostID
-	call    model.CallID
-	since   model.Instant
-	service model.ServiceName
-}
-
-// request is one arrival of an order, from a caller or from another node.
-type request struct {
-	id           model.RequestID
-	service      model.ServiceName
-	body         []byte
-	timeout      time.Duration
-	acknowledged uint64
-	waiter       waiter
+// bytes estimates the memory of a record.
+func (o *order) bytes() int {
+	size := orderBytes
+	if o.answer == nil {
+		return size
+	}
+	size += len(o.answer.OrderReply)
+	for _, row := range o.answer.Results {
+		size += len(row)
+	}
+	if o.answer.Failure != nil {
+		size += len(o.answer.Failure.Message)
+	}
+	return size
 }
 
-// open returns the record of a session, making it if needed.
-func (s *State) open(id model.SessionID) *session {
-	found := s.sessions[id]
-	if found == nil {
-		found = &session{orders: make(map[uint64]*order)}
-		s.sessions[id] = found
+// find returns the record of a sequence number, or nil.
+func (s *session) find(sequence uint64) *order {
+	i, found := s.index(sequence)
+	if !found {
+		return nil
 	}
-	return found
+	return s.orders[i]
 }
 
-// wait adds a request to those that get an order's outcome. A repeated forward
-// of one call waits once.
-func (s *State) wait(kept *order, r request) {
-	same := func(w waiter) bool { return w.from == r.waiter.from && w.call == r.waiter.call }
-	if slices.ContainsFunc(kept.waiters, same) {
-		return
-	}
-	r.waiter.service = r.service
-	kept.waiters = append(kept.waiters, r.waiter)
-	s.waiting++
+// index returns where a sequence number stands or would stand.
+func (s *session) index(sequence uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.orders, sequence, func(o *order, sequence uint64) int {
+		return cmp.Compare(o.sequence, sequence)
+	})
 }
 
-// reply sends an answer to the call behind a request.
-func (s *State) reply(ctx *step.Context, r request, answer model.Answer) {
-	r.waiter.service = r.service
-	s.replyTo(ctx, r.waiter, answer)
+// insert adds a record.
+func (s *session) insert(o *order) {
+	i, _ := s.index(o.sequence)
+	s.orders = slices.Insert(s.orders, i, o)
+	s.highest = max(s.highest, o.sequence)
 }
 
-// replyTo sends an answer to a caller or to the node that forwarded its order.
-func (s *State) replyTo(ctx *step.Context, w waiter, answer model.Answer) {
-	if w.from != "" {
-		ctx.Send(w.from, message.OrderOutcome{Call: w.call, Answer: answer})
-		return
+// acknowledge gives up the records up to a sequence number and returns the bytes
+// set free. It stops at an order that still runs: its caller cannot have the
+// outcome.
+func (s *session) acknowledge(sequence uint64) (freed int) {
+	n := 0
+	for n < len(s.orders) && s.orders[n].sequence <= sequence && s.orders[n].answer != nil {
+		s.orders[n].dropped = true
+		freed += s.orders[n].bytes()
+		n++
 	}
-	ctx.Emit(effect.ReplyCaller{
-		Call:    w.call,
-		Answer:  answer,
-		Service: w.service,
-		Elapsed: ctx.Now.Sub(w.since),
-	})
+	if n < len(s.orders) && s.orders[n].sequence <= sequence {
+		sequence = s.orders[n].sequence - 1
+	}
+	s.orders = slices.Delete(s.orders, 0, n)
+	s.acknowledged = max(s.acknowledged, sequence)
+	return freed
 }
 
-// notRun returns the answer to an order that was refused before it started.
-func notRun(id model.RequestID, code model.Code, format string, arguments ...any) model.Answer {
-	return model.Answer{RequestID: id, Outcome: model.NotRun, Failure: model.Failf(code, format, arguments...)}
+// newHome returns the record of an origin without sessions.
+func newHome(o origin, r role) *home {
+	return &home{origin: o, role: r, sessions: make(map[uint64]*session)}
 }
 
-// unknown returns the answer to an order that may have run.
-func unknown(id model.RequestID, code model.Code, format string, arguments ...any) model.Answer {
-	return model.Answer{RequestID: id, Outcome: model.Unknown, Failure: model.Failf(code, format, arguments...)}
+// age raises the floors to what the time demands. Those of a sealed home stand
+// still, because its successor gets them as they were at the seal.
+func (h *home) age(now model.Instant, settings Settings) {
+	if h.role == sealed {
+		return
+	}
+	h.aged = max(h.aged, model.SessionNumberAt(now.Add(-settings.AcceptFor)))
+	h.closed = max(h.closed, h.aged)
+	h.expired = max(h.expired, model.SessionNumberAt(now.Add(-settings.KeepFor)))
 }
 
-// outcomeLost returns the answer to an order whose home is gone.
-func outcomeLost(id model.RequestID) model.Answer {
-	return unknown(id, model.CodeOutcomeLost, "the home of session %s is gone, and with it the outcome", id.Session)
+// running returns the number of unfinished orders.
+func (h *home) running() int {
+	n := 0
+	for _, s := range h.sessions {
+		n += s.running
+	}
+	return n
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -97,6 +97,7 @@
 		Quarantine: s.quarantine,
 	})
 	s.session = session.New(s.query)
+	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
 	return s
 }
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -121,6 +121,7 @@
 	}
 	ctx.Self = s.membership.Self()
 	s.dispatch.HandleConfig(ctx)
+	s.session.HandleView(ctx)
 }
 
 // configChanged lets the parts follow another configuration.
