Language: work that is not repeated keeps a retry budget

Cause: the demo's print-room was refused: its retry budget covers what did not run, which may be tried again whether or not the work may be repeated.

--- a/internal/statement/apply_service.go
+++ b/internal/statement/apply_service.go
@@ -109,25 +109,22 @@
 			policy.RequestsPerSecond = float64(*option.Rate)
 		}
 	}
-	settleBudgets(policy, wasRepeatable, options)
+	settleHedge(policy, wasRepeatable, options)
 }
 
-// settleBudgets gives work that becomes repeatable the default budgets, and
-// takes them off work that may not be repeated, unless the statement states
-// them: then validation judges them.
-func settleBudgets(policy *model.Policy, wasRepeatable bool, options []*ServiceOption) {
-	hedge, retry := model.Percent(0), model.Percent(0)
+// settleHedge gives work that becomes repeatable the default hedge budget, and
+// takes it off work that may not be repeated, unless the statement states one:
+// then validation judges it. Retries have a budget in both cases: what did not
+// run may be tried again.
+func settleHedge(policy *model.Policy, wasRepeatable bool, options []*ServiceOption) {
+	isStated := slices.ContainsFunc(options, func(o *ServiceOption) bool { return o.Hedge != nil })
 	switch {
-	case policy.Repeatable && wasRepeatable:
+	case isStated || policy.Repeatable && wasRepeatable:
 		return
 	case policy.Repeatable:
-		hedge, retry = model.DefaultHedgeBudget, model.DefaultRetryBudget
-	}
-	if !slices.ContainsFunc(options, func(o *ServiceOption) bool { return o.Hedge != nil }) {
-		policy.HedgeBudget = hedge
-	}
-	if !slices.ContainsFunc(options, func(o *ServiceOption) bool { return o.Retry != nil }) {
-		policy.RetryBudget = retry
+		policy.HedgeBudget = model.DefaultHedgeBudget
+	default:
+		policy.HedgeBudget = 0
 	}
 }
 
