Describe and explain the coordinator; keep routes between view changes

Cause: the dump and "explain" had nothing of the coordinator, and placement ranked all members for each sub-request. A count of free slots was believed however old it was, though reports do not spread each change of a queue.

Change: Describe gives a bounded description for the dump, Explain tells the version, shards, replicas with the reason for each verdict, hedge delay with its source and tokens. Routes are kept until the view changes, a peer is lost, or a second has passed. A count older than 250 ms gives way to the learned limit less the coordinator's own open attempts.

--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -16,8 +17,10 @@
 	Config   *model.Config  `json:"config"`
 	// KnownUpstreams is the number of upstreams with a report in the catalog.
 	KnownUpstreams int `json:"known_upstreams"`
-	Timers         int `json:"timers"`
-	InFlight       int `json:"in_flight"`
+	// Query is the coordinator's part.
+	Query    query.Description `json:"query"`
+	Timers   int               `json:"timers"`
+	InFlight int               `json:"in_flight"`
 }
 
 // dump encodes the state as JSON.
@@ -29,6 +32,7 @@
 		Revision:       ctx.Config.Revision,
 		Config:         ctx.Config,
 		KnownUpstreams: s.catalog.Len(),
+		Query:          s.query.Describe(ctx),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
 	})
--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -63,8 +63,7 @@
 	config   *model.Config
 	services map[model.ServiceName]*serviceStats
 	replicas *replica.Table
-	// lostPeers holds the dispatchers whose stream ended a short while ago.
-	lostPeers map[model.HostID]model.Instant
+	routes   routes
 }
 
 // attemptRef finds an open attempt.
@@ -84,7 +83,7 @@
 		cancelled: newCancelledAttempts(),
 		services:  make(map[model.ServiceName]*serviceStats),
 		replicas:  replica.NewTable(),
-		lostPeers: make(map[model.HostID]model.Instant),
+		routes:    newRoutes(),
 	}
 }
 
--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -21,6 +21,8 @@
 	// tolerance is the ratio to the lowest cost up to which replicas count as
 	// equally good.
 	tolerance = 1.5
+	// countTime is how long a dispatcher's count of free slots is believed.
+	countTime = 250 * time.Millisecond
 	// sameDomainWeight is the preference for the coordinator's own failure
 	// domain among equally good replicas.
 	sameDomainWeight = 2
@@ -125,8 +127,12 @@
 	}
 }
 
-// free estimates the free slots after what this coordinator sent itself.
-func (s *Stats) free(r *snapshot.Replica) int {
+// free estimates the free slots after what this coordinator sent itself. An old
+// count says little, and the learned limit is all that is left to go by.
+func (s *Stats) free(now model.Instant, r *snapshot.Replica) int {
+	if now.Sub(r.Updated) > countTime {
+		return r.Limit - s.outstanding
+	}
 	if s.counted != r.Updated {
 		return r.FreeSlots
 	}
@@ -200,7 +206,7 @@
 			continue
 		}
 		s := t.of(r.ID)
-		free := s.free(r)
+		free := s.free(wish.Now, r)
 		if wish.FreeSlot && free <= 0 {
 			continue
 		}
--- a/internal/reducer/query/replica/replica_test.go
+++ b/internal/reducer/query/replica/replica_test.go
@@ -17,7 +17,7 @@
 	var replicas []*snapshot.Replica
 	for _, id := range []model.UpstreamID{"s/a", "s/b", "s/c"} {
 		replicas = append(replicas, &snapshot.Replica{
-			ID: id, Domain: model.FailureDomain(id[2:]), Reachable: true, FreeSlots: 2, Limit: 2,
+			ID: id, Domain: model.FailureDomain(id[2:]), Reachable: true, FreeSlots: 2, Limit: 2, Updated: now,
 		})
 	}
 	return replicas
@@ -99,6 +99,19 @@
 	}
 }
 
+func TestOldCountOfFreeSlotsIsNotBelieved(t *testing.T) {
+	replicas := three()
+	for _, r := range replicas {
+		r.FreeSlots = 0
+	}
+	if got := shares(NewTable(), replicas, Wish{Now: now, FreeSlot: true}); len(got) > 0 {
+		t.Fatalf("chose %v without a free slot", got)
+	}
+	if got := shares(NewTable(), replicas, Wish{Now: now.Add(2 * countTime), FreeSlot: true}); len(got) != 3 {
+		t.Fatalf("chose %v after the count has aged", got)
+	}
+}
+
 func TestDomainPreference(t *testing.T) {
 	counts := shares(NewTable(), three(), Wish{Now: now, Domain: "b", Avoid: "a"})
 	if counts["s/b"] <= counts["s/c"] || counts["s/a"] >= counts["s/c"] {
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -64,7 +64,7 @@
 // HandlePeerLost settles the attempts that were with a lost dispatcher: whether
 // they ran is not known.
 func (s *State) HandlePeerLost(ctx *step.Context, host model.HostID) {
-	s.lostPeers[host] = ctx.Now
+	s.routes.lose(host, ctx.Now)
 	var numbers []uint64
 	for number, ref := range s.attempts {
 		if ref.request.attempts[ref.index].dispatcher == host {
@@ -111,7 +111,7 @@
 	if a.reroutes >= maxReroutes {
 		return false
 	}
-	host, ok := s.dispatcher(ctx, a.replica.ID, []model.HostID{a.dispatcher})
+	host, ok := s.dispatcher(ctx, a.replica.ID, a.dispatcher)
 	if !ok {
 		return false
 	}
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
@@ -16,8 +15,6 @@
 	// left, so that its refusal arrives before the coordinator's deadline.
 	settleMargin    = 0.05
 	maxSettleMargin = 10 * time.Millisecond
-	// lostPeerTime is how long a dispatcher whose stream ended is not used.
-	lostPeerTime = 1 * time.Second
 )
 
 // scatter sends the first attempts of all waiting tasks. Of a suspect request
@@ -62,8 +59,11 @@
 		service.stats.hedges.Deposit(hedgeLimits(policy))
 		service.stats.retries.Deposit(retryLimits(policy))
 	}
-	if policy.Repeatable && !r.suspect && policy.HedgeBudget > 0 {
-		t.hedgeDelay = service.stats.hedgeDelay(t.shard, policy)
+	if r.suspect {
+		return
+	}
+	t.hedgeDelay, _ = service.stats.hedgeDelay(t.shard, policy)
+	if t.hedgeDelay > 0 {
 		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
 	}
 }
@@ -78,7 +78,7 @@
 // send sends one attempt to the upstream's dispatcher. It reports false when the
 // upstream has no dispatcher.
 func (s *State) send(ctx *step.Context, r *request, index int, chosen *snapshot.Replica, kind attemptKind) bool {
-	host, ok := s.dispatcher(ctx, chosen.ID, nil)
+	host, ok := s.dispatcher(ctx, chosen.ID, "")
 	if !ok {
 		return false
 	}
@@ -138,38 +138,6 @@
 	return model.AttemptID{Host: ctx.Self.Host, Incarnation: ctx.Self.Incarnation, Number: number}
 }
 
-// dispatcher returns the node to send an upstream's work to: this node if it is
-// one of the upstream's dispatchers, else the first.
-func (s *State) dispatcher(ctx *step.Context, upstream model.UpstreamID, except []model.HostID) (model.HostID, bool) {
-	hosts := s.parts.Placement.Dispatchers(upstream, s.members(ctx))
-	if slices.Contains(hosts, ctx.Self.Host) && !slices.Contains(except, ctx.Self.Host) {
-		return ctx.Self.Host, true
-	}
-	for _, host := range hosts {
-		if !slices.Contains(except, host) {
-			return host, true
-		}
-	}
-	return "", false
-}
-
-// members returns the members without the peers that were just lost.
-func (s *State) members(ctx *step.Context) []model.Member {
-	for host, since := range s.lostPeers {
-		if ctx.Now.Sub(since) > lostPeerTime {
-			delete(s.lostPeers, host)
-		}
-	}
-	members := ctx.View.Members()
-	if len(s.lostPeers) == 0 {
-		return members
-	}
-	return slices.DeleteFunc(slices.Clone(members), func(m model.Member) bool {
-		_, lost := s.lostPeers[m.Host]
-		return lost
-	})
-}
-
 // cancel takes an attempt back if it is open. Until its result arrives it may
 // have run.
 func (s *State) cancel(ctx *step.Context, r *request, index int) {
--- a/internal/reducer/query/service.go
+++ b/internal/reducer/query/service.go
@@ -58,19 +58,35 @@
 	tracker.Observe(d)
 }
 
+// hedgeSource is what a hedge delay is computed from.
+type hedgeSource string
+
+// The sources of hedge delays, the best first.
+const (
+	hedgeByShard    hedgeSource = "latency of the shard"
+	hedgeByService  hedgeSource = "latency of the service"
+	hedgeByDeadline hedgeSource = "share of the deadline"
+	hedgeNever      hedgeSource = "the policy permits no hedges"
+)
+
 // hedgeDelay returns how long an attempt may take before a hedge is due: the
 // quantile of the shard's recent latencies that the budget leaves uncovered.
-func (s *serviceStats) hedgeDelay(shard model.ShardID, policy *model.Policy) time.Duration {
+// Zero means that the policy permits no hedges.
+func (s *serviceStats) hedgeDelay(shard model.ShardID, policy *model.Policy) (time.Duration, hedgeSource) {
+	if !policy.Repeatable || policy.HedgeBudget <= 0 {
+		return 0, hedgeNever
+	}
 	quantile := 1 - policy.HedgeBudget.Of(1)
 	if tracker, ok := s.shards[shard]; ok {
 		if delay, ok := tracker.Quantile(quantile); ok {
-			return max(delay, leastHedgeDelay)
+			return max(delay, leastHedgeDelay), hedgeByShard
 		}
 	}
 	if delay, ok := s.all.Quantile(quantile); ok {
-		return max(delay, leastHedgeDelay)
+		return max(delay, leastHedgeDelay), hedgeByService
 	}
-	return max(time.Duration(fallbackHedgeShare*float64(policy.Deadline)), leastHedgeDelay)
+	delay := time.Duration(fallbackHedgeShare * float64(policy.Deadline))
+	return max(delay, leastHedgeDelay), hedgeByDeadline
 }
 
 // statsOf returns the state of a service.
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -120,6 +120,7 @@
 		return
 	}
 	ctx.Self = s.membership.Self()
+	s.query.HandleView()
 	s.dispatch.HandleConfig(ctx)
 }
 
