--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -30,7 +30,7 @@
 		State:          string(s.lifecycle.state),
 		Members:        s.membership.Members(),
 		Revision:       ctx.Config.Revision,
-		Config:         ctx.Config,
+		Config:         ctx.Config.WithoutKeys(),
 		KnownUpstreams: s.catalog.Len(),
 		Query:          s.query.Describe(ctx),
 		Timers:         s.timers.Len(),
