Quarantine: a second crash alone convicts a content on all nodes

Cause: nothing kept a crashing request from the next upstream. Change: crashes count once by their attempt; the second one, alone, convicts; convictions spread at once and again by the hash in digests; they lapse, and one further crash renews them for twice as long. Operators convict and pardon by the configuration; a pardon carries its revision and outranks older news. The dump describes sessions and convictions.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -272,6 +272,12 @@
 	// TimeLeft is how long the suspicion or conviction still holds, in
 	// nanoseconds.
 	TimeLeft int64
+	// Convicted marks that the sender refuses the content.
+	Convicted bool
+	// Term is the whole time of the conviction, in nanoseconds.
+	Term int64
+	// Revision is the sender's configuration: a later pardon outranks the news.
+	Revision model.Revision
 }
 
 // Pardon lifts suspicions and convictions of a fingerprint.
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Percent is a ratio in hundredths.
 type Percent float64
@@ -16,6 +19,8 @@
 	Services    []Service    `json:"services,omitempty"`
 	Operators   []Operator   `json:"operators,omitempty"`
 	Convictions []Conviction `json:"convictions,omitempty"`
+	// Pardons lists the latest pardons, which lift the nodes' own convictions.
+	Pardons []Pardon `json:"pardons,omitempty"`
 	// LeavingHosts lists entry hosts that an operator takes out of service.
 	LeavingHosts []HostID `json:"leaving_hosts,omitempty"`
 }
@@ -50,9 +55,20 @@
 	Until Instant `json:"until,omitempty"`
 }
 
+// Pardon lifts what the nodes hold against a request content on evidence from
+// before its revision.
+type Pardon struct {
+	Service     ServiceName `json:"service"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Revision    Revision    `json:"revision"`
+}
+
 // Fingerprint is a hash of a request's service and content.
 type Fingerprint uint64
 
+// String returns the form in the operators' language, 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Service is a set of upstreams with one policy.
 type Service struct {
 	Name      ServiceName `json:"name"`
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -287,5 +287,8 @@
 		Attempt:     decodeAttempt(m.GetAttempt()),
 		Alone:       m.GetAlone(),
 		TimeLeft:    m.GetTimeLeftNanos(),
+		Convicted:   m.GetConvicted(),
+		Term:        m.GetTermNanos(),
+		Revision:    model.Revision(m.GetRevision()),
 	}
 }
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -278,5 +278,8 @@
 		Attempt:       encodeAttempt(m.Attempt),
 		Alone:         m.Alone,
 		TimeLeftNanos: m.TimeLeft,
+		Convicted:     m.Convicted,
+		TermNanos:     m.Term,
+		Revision:      uint64(m.Revision),
 	}
 }
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -21,6 +23,9 @@
 	Query    query.Description `json:"query"`
 	Timers   int               `json:"timers"`
 	InFlight int               `json:"in_flight"`
+	// Session and Quarantine describe kept outcomes and convictions.
+	Session    session.Description    `json:"session"`
+	Quarantine quarantine.Description `json:"quarantine"`
 }
 
 // dump encodes the state as JSON.
@@ -35,6 +40,8 @@
 		Query:          s.query.Describe(ctx),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
+		Session:        s.session.Describe(ctx.Now),
+		Quarantine:     s.quarantine.Describe(ctx.Now),
 	})
 	if err != nil {
 		return []byte(`{"error":"the state could not be encoded"}`)
--- a/internal/reducer/membership/digest.go
+++ b/internal/reducer/membership/digest.go
@@ -20,6 +20,7 @@
 		Sequence:       s.sequence,
 		InForce:        s.inForceSample(ctx.Now),
 		LatestRevision: s.latest,
+		Convictions:    s.convictions,
 	}
 	for _, r := range s.records {
 		silent := r.heard == 0 || r.member.State == model.Failed
--- a/internal/reducer/membership/membership.go
+++ b/internal/reducer/membership/membership.go
@@ -48,6 +48,8 @@
 	ticks uint64
 	// latest is the highest configuration revision known to exist.
 	latest model.Revision
+	// convictions is the hash of the node's convictions.
+	convictions uint64
 	// records holds the other nodes, ordered by host.
 	records []*record
 	// members is the cached answer of Members.
@@ -160,6 +162,9 @@
 	s.sendDigests(ctx)
 }
 
+// SetConvictions changes the hash of the node's convictions in its digests.
+func (s *State) SetConvictions(hash uint64) { s.convictions = hash }
+
 // SetRevision changes the node's own revision in force.
 func (s *State) SetRevision(revision model.Revision) {
 	s.self.Revision = revision
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -93,6 +93,7 @@
 	case timer.Config:
 		s.configChanged(ctx, s.config.HandleTimer(ctx, due.ID))
 	case timer.Membership:
+		s.membership.SetConvictions(s.quarantine.Hash())
 		s.viewChanged(ctx, s.membership.HandleTimer(ctx, due.ID))
 	case timer.Lifecycle:
 		s.handleLifecycleTimer(ctx)
@@ -111,6 +112,7 @@
 func (s *State) stepDigest(ctx *step.Context, from model.HostID, m message.Digest) {
 	changed := s.membership.HandleDigest(ctx, from, m)
 	s.config.HandleDigest(ctx, from, m)
+	s.quarantine.HandleDigest(ctx, from, m)
 	s.viewChanged(ctx, changed)
 }
 
--- a/internal/statement/apply.go
+++ b/internal/statement/apply.go
@@ -260,6 +260,30 @@
 	if found {
 		e.config.Convictions = slices.Delete(e.config.Convictions, i, i+1)
 	}
+	e.config.Pardons = addPardon(e.config.Pardons, model.Pardon{
+		Service:     conviction.Service,
+		Fingerprint: conviction.Fingerprint,
+		Revision:    e.config.Revision + 1,
+	})
+}
+
+// maxPardons bounds the pardons that the configuration remembers. The nodes'
+// own convictions lapse, so that an old pardon has nothing left to lift.
+const maxPardons = 100
+
+// addPardon returns the pardons with a new one, which replaces an earlier one of
+// the same content.
+func addPardon(pardons []model.Pardon, added model.Pardon) []model.Pardon {
+	kept := make([]model.Pardon, 0, len(pardons)+1)
+	for _, p := range pardons {
+		if p.Service != added.Service || p.Fingerprint != added.Fingerprint {
+			kept = append(kept, p)
+		}
+	}
+	if len(kept) >= maxPardons {
+		kept = kept[len(kept)-maxPardons+1:]
+	}
+	return append(kept, added)
 }
 
 // compareUser orders users by identifier.
