Dispatch: retiring dispatchers, duplicate guard, descriptions

Cause: a planned change of the dispatcher sent every queued sub-request back while the new dispatcher was not yet known; the node's own change of state did not reach the dispatcher; nothing described the lanes. Change: the previous dispatcher goes on with half of the slots for 250 ms while the new one keeps to the other half; a change of the node's own state is a change of the view; work that must run at most once is remembered after its end; Describe for dispatch and admission in the state dump; their settings are part of the node's settings. Conclusion: both halves together never exceed the slots.

--- /dev/null
+++ b/internal/reducer/admission/describe.go
@@ -0,0 +1,38 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// maxDescribed bounds the users in a description.
+const maxDescribed = 100
+
+// Description describes what the node has taken on.
+type Description struct {
+	// Open counts requests once for each service; Limit bounds it.
+	Open  int               `json:"open"`
+	Limit int               `json:"limit"`
+	Users []UserDescription `json:"users"`
+}
+
+// UserDescription describes what one user has open.
+type UserDescription struct {
+	User     model.UserID `json:"user"`
+	Requests int          `json:"requests"`
+	// Parts counts the requests once for each service.
+	Parts int `json:"parts"`
+}
+
+// Describe returns a bounded description, ordered by user.
+func (s *State) Describe() Description {
+	d := Description{Open: s.share.Total(), Limit: s.share.Limit(), Users: []UserDescription{}}
+	for id, used := range s.users {
+		d.Users = append(d.Users, UserDescription{User: id, Requests: used.open, Parts: s.share.Held(id)})
+	}
+	slices.SortFunc(d.Users, func(a, b UserDescription) int { return cmp.Compare(a.User, b.User) })
+	d.Users = d.Users[:min(maxDescribed, len(d.Users))]
+	return d
+}
--- a/internal/reducer/dispatch/connection.go
+++ b/internal/reducer/dispatch/connection.go
@@ -92,7 +92,7 @@
 	if l.owner && s.settings.OpenAll {
 		return l.maxConnections
 	}
-	if l.owner {
+	if l.owner || l.retires != 0 {
 		return min(l.maxConnections, l.slots+controlConnections)
 	}
 	if len(l.inFlight) == 0 {
@@ -201,7 +201,7 @@
 	j.connection = nil
 	j.alone = false
 	l.queue.Push(&j.waiting)
-	if !l.owner {
+	if !l.serves(ctx.Now) {
 		s.refuseQueued(ctx, l, notOwner())
 	}
 }
--- a/internal/reducer/dispatch/dispatch.go
+++ b/internal/reducer/dispatch/dispatch.go
@@ -8,6 +8,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
@@ -47,6 +50,8 @@
 	byNumber    map[uint64]*lane
 	connections map[model.ConnectionID]*connection
 	jobs        map[model.AttemptID]*job
+	// sentOnce remembers the sent work that must run at most once.
+	sentOnce recentAttempts
 	// members lists the hosts that know this node's reports.
 	members []model.HostID
 	// listed holds the upstreams that the platform says are leaving.
@@ -69,20 +74,22 @@
 		byNumber:    make(map[uint64]*lane),
 		connections: make(map[model.ConnectionID]*connection),
 		jobs:        make(map[model.AttemptID]*job),
+		sentOnce:    newRecentAttempts(),
 		listed:      make(map[model.UpstreamID]bool),
 		configured:  make(map[model.UpstreamID]bool),
 	}
 }
 
 // HandleDispatch runs, queues or refuses a sub-request of a coordinator. A
-// sub-request that is already queued or sent is not taken on again.
+// sub-request that is already queued or sent is not taken on again, and one that
+// must run at most once not even after its end.
 func (s *State) HandleDispatch(ctx *step.Context, from model.HostID, m message.Dispatch) {
-	if _, known := s.jobs[m.Attempt]; known {
+	if _, open := s.jobs[m.Attempt]; open || s.sentOnce.has(m.Attempt) {
 		return
 	}
 	j := s.newJob(ctx, from, m)
 	l := s.byUpstream[m.Upstream]
-	if l == nil || !l.owner {
+	if l == nil || !l.serves(ctx.Now) {
 		j.reply(ctx, notOwner())
 		return
 	}
@@ -99,13 +106,25 @@
 // HandlePeerLost cancels the sub-requests of a coordinator that is gone. Work
 // that must run at most once and was written runs on.
 func (s *State) HandlePeerLost(ctx *step.Context, host model.HostID) {
-	for _, l := range s.lanes {
-		for _, j := range l.jobsOf(host) {
-			if j.isQueued() || j.request.Repeatable {
-				s.cancel(ctx, j)
-			}
+	for _, j := range s.jobsOf(host) {
+		if j.isQueued() || j.request.Repeatable {
+			s.cancel(ctx, j)
+		}
+	}
+}
+
+// jobsOf returns the jobs of one coordinator in the order of their attempts.
+func (s *State) jobsOf(host model.HostID) []*job {
+	var jobs []*job
+	for _, j := range s.jobs {
+		if j.from == host {
+			jobs = append(jobs, j)
 		}
 	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Compare(a.request.Attempt.Number, b.request.Attempt.Number)
+	})
+	return jobs
 }
 
 // HandleReply takes in an upstream's reply.
--- a/internal/reducer/dispatch/dispatch_test.go
+++ b/internal/reducer/dispatch/dispatch_test.go
@@ -166,6 +166,48 @@
 	}
 }
 
+func TestDuplicateOrderIsNotSentAgain(t *testing.T) {
+	b := ready(t, 1)
+	order := func(m *message.Dispatch) { m.Kind, m.Repeatable = message.KindOrder, false }
+	b.dispatch(order)
+	b.reply(b.sent(), nil)
+	b.attempts--
+	b.dispatch(order)
+	if len(b.effects) != 0 {
+		t.Errorf("effects = %+v, want none for a repeated message", b.effects)
+	}
+}
+
+func TestRetiringDispatcherKeepsHalfOfTheSlotsForAWhile(t *testing.T) {
+	b := ready(t, 4)
+	b.placement.hosts = []model.HostID{coordinator}
+	b.configure()
+	for range 3 {
+		b.dispatch(nil)
+	}
+	if got := len(b.state.byUpstream[upstreamA].inFlight); got != 2 {
+		t.Fatalf("%d in flight while retiring, want 2 of 4 slots", got)
+	}
+	b.advance(retirement)
+	if got := b.result(); got.Status != message.StatusNotOwner {
+		t.Errorf("queued work: %+v", got)
+	}
+	b.dispatch(nil)
+	if got := b.result(); got.Status != message.StatusNotOwner {
+		t.Errorf("new work: %+v", got)
+	}
+}
+
+func TestRemovedUpstreamGetsNoMoreWork(t *testing.T) {
+	b := ready(t, 4)
+	b.config = &model.Config{}
+	b.configure()
+	b.dispatch(nil)
+	if got := b.result(); got.Status != message.StatusNotOwner {
+		t.Errorf("result = %+v", got)
+	}
+}
+
 func TestLosingOwnershipFinishesWhatIsInFlight(t *testing.T) {
 	b := ready(t, 1)
 	b.dispatch(nil)
--- a/internal/reducer/dispatch/lane.go
+++ b/internal/reducer/dispatch/lane.go
@@ -19,6 +19,9 @@
 	// owner is true while this node dispatches for the upstream. A lane without
 	// ownership finishes what is in flight and closes its connections.
 	owner bool
+	// retires is when a lane that has lost its ownership ends to send; zero if it
+	// may not send.
+	retires model.Instant
 	// part is this node's place among the upstream's dispatchers.
 	part share
 	// slots is this node's share of the upstream's slots.
@@ -75,9 +78,12 @@
 	s.mean += time.Duration(serviceTimeGain * float64(elapsed-s.mean))
 }
 
+// serves reports whether the lane takes sub-requests on.
+func (l *lane) serves(now model.Instant) bool { return l.owner || now < l.retires }
+
 // freeSlots returns how many more sub-requests may be sent now.
 func (l *lane) freeSlots(now model.Instant) int {
-	if !l.owner || l.isDraining() || l.isIsolated() {
+	if !l.serves(now) || l.isDraining() || l.isIsolated() {
 		return 0
 	}
 	return max(0, l.limit.Current(now)-len(l.inFlight))
@@ -105,22 +111,6 @@
 	return pause + time.Duration(busy)*l.service.expected(now)/time.Duration(slots)
 }
 
-// jobsOf returns the jobs of one coordinator, in a repeatable order.
-func (l *lane) jobsOf(host model.HostID) []*job {
-	var jobs []*job
-	for _, j := range l.inFlight {
-		if j.from == host {
-			jobs = append(jobs, j)
-		}
-	}
-	for _, e := range l.queue.Entries() {
-		if e.Value.from == host {
-			jobs = append(jobs, e.Value)
-		}
-	}
-	return jobs
-}
-
 // removeInFlight takes a job off the list of sent jobs.
 func (l *lane) removeInFlight(j *job) {
 	l.inFlight = slices.DeleteFunc(l.inFlight, func(other *job) bool { return other == j })
--- a/internal/reducer/dispatch/ownership.go
+++ b/internal/reducer/dispatch/ownership.go
@@ -12,12 +12,15 @@
 )
 
 const (
-	// takeoverHold is how long a new dispatcher keeps to half of its slots,
-	// because the previous one may not know yet that it is not one any more.
+	// takeoverHold is how long a new dispatcher leaves half of its slots to the
+	// previous one, which may not know yet that it is not one any more.
 	takeoverHold = 500 * time.Millisecond
+	// retirement is how long a previous dispatcher goes on with the other half,
+	// for coordinators that do not know the new one yet.
+	retirement = 250 * time.Millisecond
 	// takeoverProbe is when a new dispatcher asks the upstream whether others
-	// still use it.
-	takeoverProbe = 100 * time.Millisecond
+	// still use it: after the retirement and the time that views may differ.
+	takeoverProbe = 300 * time.Millisecond
 )
 
 // HandleConfig brings the lanes in line with the configuration and the
@@ -45,7 +48,11 @@
 	}
 	s.configured = configured
 	for _, l := range slices.Clone(s.lanes) {
-		if l.owner && !owned[l.upstream.ID] {
+		switch {
+		case !l.owner || owned[l.upstream.ID]:
+		case configured[l.upstream.ID]:
+			s.retire(ctx, l)
+		default:
 			s.disown(ctx, l)
 		}
 	}
@@ -65,6 +72,7 @@
 	}
 	takeover := !l.owner && s.configured[upstream.ID]
 	l.owner = true
+	l.retires = 0
 	l.upstream = upstream
 	l.policy = service.Policy
 	l.part = part
@@ -77,9 +85,9 @@
 	s.proceed(ctx, l)
 }
 
-// holdSlots keeps to half of the slots for a while after a takeover.
+// holdSlots leaves half of the slots to the previous dispatcher for a while.
 func (s *State) holdSlots(ctx *step.Context, l *lane) {
-	l.limit.Hold(l.slots/2, ctx.Now, takeoverHold)
+	l.limit.Hold(l.slots-l.slots/2, ctx.Now, takeoverHold)
 	l.setTimer(ctx, takeoverProbe, takeoverTimer)
 	l.setTimer(ctx, takeoverHold, takeoverTimer)
 }
@@ -109,10 +117,25 @@
 	return l
 }
 
+// retire gives an upstream up to another dispatcher. For a while this node goes
+// on with the half of the slots that the new one leaves to it.
+func (s *State) retire(ctx *step.Context, l *lane) {
+	half := l.slots / 2
+	if half == 0 {
+		s.disown(ctx, l)
+		return
+	}
+	l.owner = false
+	l.retires = ctx.Now.Add(retirement)
+	l.limit.Hold(half, ctx.Now, retirement)
+	l.setTimer(ctx, retirement, retireTimer)
+}
+
 // disown stops to dispatch for an upstream: what is queued goes back to the
 // coordinators as not run, what was sent runs to its end.
 func (s *State) disown(ctx *step.Context, l *lane) {
 	l.owner = false
+	l.retires = 0
 	s.refuseQueued(ctx, l, notOwner())
 	s.trim(ctx, l)
 	s.removeIfUnused(l)
@@ -142,7 +165,7 @@
 // removeIfUnused forgets a lane that this node does not own once its last
 // connection has ended and its last job is settled.
 func (s *State) removeIfUnused(l *lane) {
-	if l.owner || len(l.connections) > 0 || len(l.collapse.suspects) > 0 {
+	if l.owner || l.retires != 0 || len(l.connections) > 0 || len(l.collapse.suspects) > 0 {
 		return
 	}
 	s.forget(l)
--- a/internal/reducer/dispatch/schedule.go
+++ b/internal/reducer/dispatch/schedule.go
@@ -116,6 +116,9 @@
 		other.alone = false
 	}
 	l.inFlight = append(l.inFlight, j)
+	if !j.request.Repeatable {
+		s.sentOnce.add(j.request.Attempt)
+	}
 	ctx.Emit(effect.SendUpstream{
 		Connection: c.id,
 		Attempt:    j.request.Attempt,
--- a/internal/reducer/dispatch/timers.go
+++ b/internal/reducer/dispatch/timers.go
@@ -19,6 +19,7 @@
 	pauseTimer
 	collapseTimer
 	takeoverTimer
+	retireTimer
 	timerKinds
 )
 
@@ -80,6 +81,10 @@
 	case collapseTimer:
 		s.judgeCollapse(ctx, l)
 		s.proceed(ctx, l)
+	case retireTimer:
+		if !l.serves(ctx.Now) {
+			s.disown(ctx, l)
+		}
 	case takeoverTimer:
 		l.status.due = true
 		s.pump(ctx, l)
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -18,6 +20,9 @@
 	KnownUpstreams int `json:"known_upstreams"`
 	Timers         int `json:"timers"`
 	InFlight       int `json:"in_flight"`
+	// Dispatch and Admission describe what the node does for upstreams and users.
+	Dispatch  dispatch.Description  `json:"dispatch"`
+	Admission admission.Description `json:"admission"`
 }
 
 // dump encodes the state as JSON.
@@ -31,6 +36,8 @@
 		KnownUpstreams: s.catalog.Len(),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
+		Dispatch:       s.dispatch.Describe(ctx.Now),
+		Admission:      s.admission.Describe(),
 	})
 	if err != nil {
 		return []byte(`{"error":"the state could not be encoded"}`)
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -46,6 +46,7 @@
 	}
 	s.lifecycle.state = model.Serving
 	s.membership.SetState(ctx, model.Serving)
+	s.viewChanged(ctx, true)
 	ctx.Log(effect.Info, "lifecycle", "serving")
 }
 
@@ -58,6 +59,7 @@
 	s.lifecycle.state = model.Leaving
 	s.lifecycle.stopped = ctx.Now
 	s.membership.SetState(ctx, model.Leaving)
+	s.viewChanged(ctx, true)
 	ctx.Log(effect.Info, "lifecycle", "leaving")
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -26,6 +26,8 @@
 	// Self describes the node; its State is ignored.
 	Self       model.Member
 	Entry      entry.Settings
+	Dispatch   dispatch.Settings
+	Admission  admission.Settings
 	Membership membership.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
 	// of the process.
@@ -85,12 +87,12 @@
 		membership: membership.New(settings.Membership, settings.Self),
 		config:     config.New(),
 		catalog:    snapshot.NewCatalog(),
-		admission:  admission.New(),
+		admission:  admission.NewWith(settings.Admission),
 		quarantine: quarantine.New(),
 		entry:      entry.New(settings.Entry),
 	}
 	s.config.SetHosts(s.membership)
-	s.dispatch = dispatch.New(s.entry)
+	s.dispatch = dispatch.NewWith(s.entry, settings.Dispatch)
 	s.query = query.New(query.Parts{
 		Catalog:    s.catalog,
 		Placement:  s.entry,
