--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -6,6 +6,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -18,11 +19,13 @@
 	Config   *model.Config  `json:"config"`
 	// KnownUpstreams is the number of upstreams with a report in the catalog.
 	KnownUpstreams int `json:"known_upstreams"`
-	Timers         int `json:"timers"`
-	InFlight       int `json:"in_flight"`
 	// Dispatch and Admission describe what the node does for upstreams and users.
 	Dispatch  dispatch.Description  `json:"dispatch"`
 	Admission admission.Description `json:"admission"`
+	// Query is the coordinator's part.
+	Query    query.Description `json:"query"`
+	Timers   int               `json:"timers"`
+	InFlight int               `json:"in_flight"`
 }
 
 // dump encodes the state as JSON.
@@ -32,8 +35,9 @@
 		State:          string(s.lifecycle.state),
 		Members:        s.membership.Members(),
 		Revision:       ctx.Config.Revision,
-		Config:         ctx.Config,
+		Config:         ctx.Config.WithoutKeys(),
 		KnownUpstreams: s.catalog.Len(),
+		Query:          s.query.Describe(ctx),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
 		Dispatch:       s.dispatch.Describe(ctx.Now),
