--- a/internal/reducer/snapshot/catalog.go
+++ b/internal/reducer/snapshot/catalog.go
@@ -342,4 +342,4 @@
 }
 
 // Len returns the number of upstreams with a report.
-func (c *Catalog) Len() int { return 0 }
+func (c *Catalog) Len() int { return len(c.records) }
