--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
@@ -19,6 +21,9 @@
 	Config   *model.Config  `json:"config"`
 	// KnownUpstreams is the number of upstreams with a report in the catalog.
 	KnownUpstreams int `json:"known_upstreams"`
+	// Dispatch and Admission describe what the node does for upstreams and users.
+	Dispatch  dispatch.Description  `json:"dispatch"`
+	Admission admission.Description `json:"admission"`
 	// Query is the coordinator's part.
 	Query    query.Description `json:"query"`
 	Timers   int               `json:"timers"`
@@ -42,6 +47,8 @@
 		InFlight:       s.openRequests(),
 		Session:        s.session.Describe(ctx.Now),
 		Quarantine:     s.quarantine.Describe(ctx.Now),
+		Dispatch:       s.dispatch.Describe(ctx.Now),
+		Admission:      s.admission.Describe(),
 	})
 	if err != nil {
 		return []byte(`{"error":"the state could not be encoded"}`)
