--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
@@ -9,8 +10,17 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
 )
 
-// lifecyclePeriod is the time between two looks at the node's own progress.
-const lifecyclePeriod = 100 * time.Millisecond
+// Times of the node's life.
+const (
+	// lifecyclePeriod is the time between two looks at the node's own progress.
+	lifecyclePeriod = 100 * time.Millisecond
+	// leavingSpread is how long other nodes may go on naming a leaving node in
+	// entry answers.
+	leavingSpread = 500 * time.Millisecond
+	// quietBeforeExit is how long nothing may be in flight before the exit, so
+	// that the last replies and messages have left.
+	quietBeforeExit = 300 * time.Millisecond
+)
 
 // lifecycle is where the node stands between start and exit.
 type lifecycle struct {
@@ -19,6 +29,9 @@
 	stopped model.Instant
 	// sealed is true once the sessions are being handed over.
 	sealed bool
+	// busy is when something was last in flight after the seal.
+	busy   model.Instant
+	exited bool
 }
 
 // startLifecycle begins the node's life as not ready.
@@ -64,21 +77,26 @@
 }
 
 // stepLeaving seals the sessions once no caller holds a valid entry answer, and
-// exits when nothing is in flight.
+// exits when nothing has been in flight for a while. Until then it serves what
+// arrives.
 func (s *State) stepLeaving(ctx *step.Context) {
 	elapsed := ctx.Now.Sub(s.lifecycle.stopped)
 	if elapsed >= s.settings.StopGrace {
 		s.exit(ctx)
 		return
 	}
-	if elapsed < s.settings.Entry.TTL {
+	if elapsed < s.settings.Entry.TTL+leavingSpread {
 		return
 	}
 	if !s.lifecycle.sealed {
 		s.lifecycle.sealed = true
+		s.lifecycle.busy = ctx.Now
 		s.session.Seal(ctx)
 	}
-	if s.openRequests() == 0 && s.session.HandedOver() {
+	if s.openRequests() > 0 || !s.session.HandedOver() {
+		s.lifecycle.busy = ctx.Now
+	}
+	if ctx.Now.Sub(s.lifecycle.busy) >= quietBeforeExit {
 		s.exit(ctx)
 	}
 }
@@ -88,9 +106,29 @@
 	return s.query.InFlight() + s.session.InFlight() + s.dispatch.InFlight()
 }
 
-// exit ends the process.
+// exit ends the process and logs what it cuts.
 func (s *State) exit(ctx *step.Context) {
-	ctx.Emit(effect.Exit{Cut: s.openRequests()})
+	if s.lifecycle.exited {
+		return
+	}
+	s.lifecycle.exited = true
+	cut := s.openRequests()
+	severity := effect.Info
+	if cut > 0 || !s.session.HandedOver() {
+		severity = effect.Warning
+	}
+	ctx.Log(severity, "lifecycle", "stopped",
+		countField("cut_requests", s.query.InFlight()),
+		countField("cut_order_calls", s.session.InFlight()),
+		countField("cut_sub_requests", s.dispatch.InFlight()),
+		effect.Field{Name: "sessions_handed_over", Value: strconv.FormatBool(s.session.HandedOver())},
+		effect.Field{Name: "after", Value: ctx.Now.Sub(s.lifecycle.stopped).String()})
+	ctx.Emit(effect.Exit{Cut: cut})
+}
+
+// countField returns a log field with a number.
+func countField(name string, n int) effect.Field {
+	return effect.Field{Name: name, Value: strconv.Itoa(n)}
 }
 
 // noticePause resynchronises after a gap in the node's own clock: what it
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -29,6 +29,7 @@
 	Dispatch   dispatch.Settings
 	Admission  admission.Settings
 	Membership membership.Settings
+	Session    session.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
 	// of the process.
 	PauseThreshold time.Duration
@@ -57,6 +58,7 @@
 			FailAfter:        membership.DefaultFailAfter,
 			HostListInterval: membership.DefaultHostListInterval,
 		},
+		Session:        session.DefaultSettings(),
 		PauseThreshold: DefaultPauseThreshold,
 		StopGrace:      DefaultStopGrace,
 	}
@@ -100,6 +102,7 @@
 		Quarantine: s.quarantine,
 	})
 	s.session = session.New(s.query)
+	s.session.Configure(settings.Session)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
 	return s
--- a/internal/virtual/world.go
+++ b/internal/virtual/world.go
@@ -58,8 +58,11 @@
 	// Delay is added to the one-way delay; later messages of the stream wait
 	// behind it.
 	Delay time.Duration
-	// Copies is the number of extra deliveries.
-	Copies int
+	// Crossed lets the message arrive out of the stream's order.
+	Crossed bool
+	// Copies is the number of extra deliveries, each CopyDelay after the last.
+	Copies    int
+	CopyDelay time.Duration
 }
 
 // Store answers store calls in virtual time. It calls deliver once, now or later.
@@ -297,11 +300,14 @@
 	if fate.Lost || fate.Silent {
 		return
 	}
-	at := max(w.now.Add(w.options.PeerDelay+fate.Delay), w.streams[key])
-	w.streams[key] = at
+	at := w.now.Add(w.options.PeerDelay + fate.Delay)
+	if !fate.Crossed {
+		at = max(at, w.streams[key])
+		w.streams[key] = at
+	}
 	life := from.incarnation
-	for range 1 + fate.Copies {
-		w.at(at, func() {
+	for n := range 1 + fate.Copies {
+		w.at(at.Add(time.Duration(n)*fate.CopyDelay), func() {
 			if w.cuts[key] {
 				return
 			}
