Entry: work a view out once; benchmarks of dispatch and placement

Change: host hashes once a view, a subset once a service and view, the best few picked without sorting.

--- /dev/null
+++ b/internal/reducer/entry/bench_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// fleetOf returns serving members in 15 failure domains.
+func fleetOf(nodes int) []model.Member {
+	members := make([]model.Member, nodes)
+	for i := range members {
+		members[i] = model.Member{
+			Host:          model.HostID(fmt.Sprintf("host-%05d", i)),
+			FailureDomain: model.FailureDomain(fmt.Sprintf("domain-%d", i%15)),
+			State:         model.Serving,
+		}
+	}
+	return members
+}
+
+// BenchmarkDispatchers places one upstream while the view stays the same.
+func BenchmarkDispatchers(b *testing.B) {
+	members := fleetOf(64)
+	s := New(Settings{SubsetSize: DefaultSubsetSize, Dispatchers: DefaultDispatchers})
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Dispatchers("counter-1/a", members)
+	}
+}
+
+// BenchmarkSubset works out the subset of one service after a change of the
+// view.
+func BenchmarkSubset(b *testing.B) {
+	for _, nodes := range []int{4, 64, 1024, 3300} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			v := newView(fleetOf(nodes))
+			b.ReportAllocs()
+			for b.Loop() {
+				clear(v.subsets)
+				v.subset("counter-1", DefaultSubsetSize)
+			}
+		})
+	}
+}
--- a/internal/reducer/entry/entry.go
+++ b/internal/reducer/entry/entry.go
@@ -37,6 +37,8 @@
 	settings Settings
 	// opened is the number of the last session that this node opened.
 	opened uint64
+	// view is what was worked out of the latest view of the members.
+	view *view
 }
 
 // New returns a state that has opened no session.
@@ -72,11 +74,16 @@
 // shuffle orders the members at random: a member comes first with a probability
 // that is proportional to its weight.
 func shuffle(random *rand.Rand, members []model.Member) []model.Member {
-	shuffled := rank(strconv.FormatUint(random.Uint64(), 36), members)
-	for i := range shuffled {
-		members[i] = shuffled[i].member
+	v := newView(members)
+	all := make([]int, len(v.members))
+	for i := range all {
+		all[i] = i
 	}
-	return members
+	out := make([]model.Member, 0, len(members))
+	for _, r := range v.rank(strconv.FormatUint(random.Uint64(), 36), all) {
+		out = append(out, v.members[r.at])
+	}
+	return out
 }
 
 // openSession names a new session with this node as its home. A leaving node
--- a/internal/reducer/entry/entry_test.go
+++ b/internal/reducer/entry/entry_test.go
@@ -83,11 +83,12 @@
 }
 
 func TestWeightsShareTheKeys(t *testing.T) {
-	members := []model.Member{{Host: "a", Weight: 1}, {Host: "b", Weight: 3}}
+	members := []model.Member{{Host: "a", Weight: 1, State: model.Serving}, {Host: "b", Weight: 3, State: model.Serving}}
+	v := newView(members)
 	const keys = 4000
 	first := 0
 	for i := range keys {
-		if rank(strconv.Itoa(i), members)[0].member.Host == "b" {
+		if v.members[v.rank(strconv.Itoa(i), []int{0, 1})[0].at].Host == "b" {
 			first++
 		}
 	}
@@ -96,14 +97,30 @@
 	}
 }
 
+// rankedHosts ranks members for a key, all of them as if they were serving.
+func rankedHosts(key string, members []model.Member) []model.HostID {
+	serving := slices.Clone(members)
+	all := make([]int, len(members))
+	for i := range serving {
+		serving[i].State = model.Serving
+		all[i] = i
+	}
+	v := newView(serving)
+	hosts := make([]model.HostID, 0, len(members))
+	for _, r := range v.rank(key, all) {
+		hosts = append(hosts, v.members[r.at].Host)
+	}
+	return hosts
+}
+
 func TestLossOfAMemberMovesOnlyItsKeys(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		members := drawMembers(t)
 		lost := rapid.IntRange(0, len(members)-1).Draw(t, "lost")
 		key := rapid.String().Draw(t, "key")
-		before := rank(key, members)
-		after := rank(key, slices.Delete(slices.Clone(members), lost, lost+1))
-		kept := slices.DeleteFunc(before, func(r ranked) bool { return r.member.Host == members[lost].Host })
+		before := rankedHosts(key, members)
+		after := rankedHosts(key, slices.Delete(slices.Clone(members), lost, lost+1))
+		kept := slices.DeleteFunc(before, func(host model.HostID) bool { return host == members[lost].Host })
 		if !slices.Equal(kept, after) {
 			t.Fatalf("order %v became %v", kept, after)
 		}
