--- /dev/null
+++ b/internal/reducer/show/explain.go
@@ -0,0 +1,153 @@
+package show
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
+	"github.com/hawthorntack/hawthorntack/internal/statement"
+)
+
+// explain tells what this node would do with a request of a service now, and
+// why.
+func (a *Answerer) explain(q *asked, name model.ServiceName, result *effect.StatementResult) *model.Failure {
+	service := q.visible.Service(name)
+	if service == nil {
+		return model.Failf(model.CodeUnknownService, "no service %s", name)
+	}
+	explanation, failure := a.parts.Coordinator.Explain(q.Context, name)
+	if failure != nil {
+		return failure
+	}
+	result.Tables = append(result.Tables, decisions(q, service, &explanation), replicas(&explanation))
+	if explanation.Omitted > 0 {
+		result.Text += fmt.Sprintf("%d shards more are not listed\n", explanation.Omitted)
+	}
+	return nil
+}
+
+// decisions lists what would be decided, with the reason.
+func decisions(q *asked, service *model.Service, explanation *query.Explanation) model.Table {
+	return model.Table{Columns: []string{"decision", "now", "reason"}, Rows: [][]string{
+		takeOn(q, service),
+		pin(explanation),
+		answer(service),
+		fail(service),
+		hedge(service, explanation),
+		retry(service, explanation),
+		convictions(q, service),
+	}}
+}
+
+// takeOn tells whether the node takes new requests.
+func takeOn(q *asked, service *model.Service) []string {
+	decision := "take on"
+	if q.Self.State != model.Serving {
+		return []string{decision, "no", fmt.Sprintf("node %s is %s", q.Self.Host, q.Self.State)}
+	}
+	limits := []string{"service rate " + statement.Rate(service.Policy.RequestsPerSecond).String()}
+	if user := q.Config.User(service.User); user != nil {
+		limits = append(limits,
+			"user rate "+statement.Rate(user.RequestsPerSecond).String(),
+			"user in flight "+statement.Limit(user.InFlight).String())
+	}
+	return []string{decision, "yes", "node " + string(q.Self.Host) + " serves, with " + strings.Join(limits, ", ")}
+}
+
+// pin tells which snapshot a search would read.
+func pin(explanation *query.Explanation) []string {
+	if explanation.Version == 0 {
+		return []string{"snapshot", "none", "no upstream has reported a version that it holds"}
+	}
+	total := len(explanation.Shards) + explanation.Omitted
+	reason := fmt.Sprintf("newest version of greatest coverage: %d of %d shards can be searched", explanation.Searchable, total)
+	return []string{"snapshot", strconv.FormatUint(uint64(explanation.Version), 10), reason}
+}
+
+// answer tells when a search would be answered.
+func answer(service *model.Service) []string {
+	policy := &service.Policy
+	if policy.AnswerBy == 0 {
+		return []string{"answer", "at the latest after " + statement.Duration(policy.Deadline).String(), "the policy waits for all shards until the deadline"}
+	}
+	reason := fmt.Sprintf("the policy answers early at a coverage of %s or more", statement.Percent(policy.LeastCoverage))
+	return []string{"answer", "after " + statement.Duration(policy.AnswerBy).String() + " with what there is", reason}
+}
+
+// fail tells when a search would fail.
+func fail(service *model.Service) []string {
+	policy := &service.Policy
+	return []string{
+		"fail", "after " + statement.Duration(policy.Deadline).String(),
+		fmt.Sprintf("if the coverage is under %s at the deadline", statement.Percent(policy.LeastCoverage)),
+	}
+}
+
+// hedge tells whether a slow sub-request would be repeated.
+func hedge(service *model.Service, explanation *query.Explanation) []string {
+	switch {
+	case !service.Policy.Repeatable:
+		return []string{"hedge", "no", "the work may not be repeated"}
+	case service.Policy.HedgeBudget == 0:
+		return []string{"hedge", "no", "the hedge budget is 0%"}
+	case explanation.HedgeTokens < 1:
+		return []string{"hedge", "no", "the budget is used up: " + tokens(explanation.HedgeTokens) + " tokens"}
+	default:
+		return []string{"hedge", "yes", tokens(explanation.HedgeTokens) + " tokens; the delays are those of the shards"}
+	}
+}
+
+// retry tells whether a failed sub-request would be repeated.
+func retry(service *model.Service, explanation *query.Explanation) []string {
+	if explanation.RetryTokens < 1 {
+		return []string{"retry", "no", "the budget holds " + tokens(explanation.RetryTokens) + " tokens"}
+	}
+	reason := tokens(explanation.RetryTokens) + " tokens"
+	if !service.Policy.Repeatable {
+		return []string{"retry", "only what did not run", reason + "; the work may not be repeated"}
+	}
+	return []string{"retry", "yes", reason}
+}
+
+// convictions counts the contents that operators have convicted.
+func convictions(q *asked, service *model.Service) []string {
+	count := 0
+	for _, conviction := range q.visible.Convictions {
+		lapsed := conviction.Until != 0 && conviction.Until.Before(q.Now)
+		if conviction.Service == service.Name && !lapsed {
+			count++
+		}
+	}
+	return []string{"refuse contents", strconv.Itoa(count), "convicted by operators"}
+}
+
+// replicas lists the replicas of each shard with the verdict on them.
+func replicas(explanation *query.Explanation) model.Table {
+	table := model.Table{
+		Columns: []string{"shard", "upstream", "verdict", "free_slots", "queued", "outstanding", "latency", "count_age", "dispatchers", "hedge_after", "hedge_source"},
+		Rows:    [][]string{},
+	}
+	for _, shard := range explanation.Shards {
+		for _, replica := range shard.Replicas {
+			table.Rows = append(table.Rows, []string{
+				shard.Name, string(replica.Upstream), replica.Verdict,
+				strconv.Itoa(replica.FreeSlots), strconv.Itoa(replica.Queued), strconv.Itoa(replica.Outstanding),
+				latency(replica.Latency), age(replica.CountAge), hosts(replica.Dispatchers),
+				latency(shard.HedgeDelay), string(shard.HedgeSource),
+			})
+		}
+	}
+	return table
+}
+
+// hosts joins the names of hosts.
+func hosts(ids []model.HostID) string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return strings.Join(names, " ")
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -16,6 +16,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/show"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
@@ -73,6 +74,7 @@
 	dispatch   *dispatch.State
 	query      *query.State
 	session    *session.State
+	show       *show.Answerer
 	lifecycle  lifecycle
 	// last is the time of the last event.
 	last model.Instant
@@ -100,6 +102,7 @@
 	s.session = session.New(s.query)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
+	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session})
 	return s
 }
 
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -5,7 +5,6 @@
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/show"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
 	"github.com/hawthorntack/hawthorntack/internal/statement"
@@ -160,7 +159,7 @@
 
 // answerQuestions answers an operator's questions from the node's own state.
 func (s *State) answerQuestions(ctx *step.Context, e event.Statement, questions []statement.Question) {
-	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: show.Answer(ctx, e.Operator, questions)})
+	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: s.show.Answer(ctx, e.Operator, questions)})
 }
 
 // stepDump returns the state as JSON.
--- a/internal/statement/apply_service.go
+++ b/internal/statement/apply_service.go
@@ -247,8 +247,8 @@
 
 // matchUpstreams returns the upstreams that meet a pattern and conditions; none
 // is a problem.
-func (e *editor) matchUpstreams(pattern Pattern, where *Where) []model.UpstreamID {
-	table, problem := where.Select(UpstreamTable(e.config, pattern))
+func (e *editor) matchUpstreams(pattern UpstreamPattern, where *Where) []model.UpstreamID {
+	table, problem := where.Select(UpstreamTable(e.config, Pattern(pattern)))
 	if problem != nil {
 		e.add(problem)
 		return nil
--- a/internal/statement/grammar.go
+++ b/internal/statement/grammar.go
@@ -148,7 +148,7 @@
 // AlterUpstream changes the upstreams that a pattern and conditions match.
 type AlterUpstream struct {
 	Pos     lexer.Position
-	Pattern Pattern           `parser:"@Word"`
+	Pattern UpstreamPattern   `parser:"@Word"`
 	Where   *Where            `parser:"( 'where' @@ )?"`
 	Options []*UpstreamOption `parser:"'set' @@ @@*"`
 }
@@ -156,8 +156,8 @@
 // DropUpstream removes upstreams.
 type DropUpstream struct {
 	Pos     lexer.Position
-	Pattern Pattern `parser:"@Word"`
-	Where   *Where  `parser:"( 'where' @@ )?"`
+	Pattern UpstreamPattern `parser:"@Word"`
+	Where   *Where          `parser:"( 'where' @@ )?"`
 }
 
 // UpstreamOption is one setting of an upstream; exactly one field is set.
@@ -174,9 +174,9 @@
 // Drain takes upstreams or an entry host out of service, or back in.
 type Drain struct {
 	Pos      lexer.Position
-	Upstream *Pattern `parser:"( 'upstream' @Word"`
-	Where    *Where   `parser:"( 'where' @@ )?"`
-	Host     *Name    `parser:"| 'host' @Word )"`
+	Upstream *UpstreamPattern `parser:"( 'upstream' @Word"`
+	Where    *Where           `parser:"( 'where' @@ )?"`
+	Host     *Name            `parser:"| 'host' @Word )"`
 	// Lift is true for undrain.
 	Lift bool
 }
--- a/internal/statement/parse_test.go
+++ b/internal/statement/parse_test.go
@@ -12,6 +12,7 @@
 		{"create service x for y deadline 3s bogus", `line 1, column 36: found "bogus", expected answer, coverage, deadline, hedge, if, rate, refuse, repeat, retry, upstream or the end of the statement`},
 		{"create upstream a/b", `line 1, column 20: found the end of the statement, expected at, connections, draining, in, shard or slots`},
 		{"create upstream a/b at 10.0.0.1", `line 1, column 24: found "10.0.0.1", expected an address such as 10.0.0.1:9001`},
+		{"drain upstream counter-1", `line 1, column 16: found "counter-1", expected an upstream or a pattern such as counter-1/*`},
 		{"alter service x deadline 3s", `line 1, column 17: found "deadline", expected set`},
 		{"alter service x set hedge budget 3", `line 1, column 34: found "3", expected a percentage such as 5%`},
 		{"create operator x key hash abc", `line 1, column 28: found "abc", expected a text in single quotes`},
--- a/internal/statement/tables.go
+++ b/internal/statement/tables.go
@@ -7,11 +7,8 @@
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
-// all is the pattern that leaves nothing out.
-const all = Pattern("*")
-
-// matches reports whether an optional pattern matches.
-func (p Pattern) matches(name string) bool { return p == "" || p == all || p.Match(name) }
+// All is the pattern that leaves nothing out.
+const All = Pattern("*")
 
 // ServiceTable lists services.
 func ServiceTable(config *model.Config, pattern Pattern) model.Table {
@@ -21,7 +18,7 @@
 	}, Rows: [][]string{}}
 	for i := range config.Services {
 		service := &config.Services[i]
-		if pattern.matches(string(service.Name)) {
+		if pattern.Match(string(service.Name)) {
 			table.Rows = append(table.Rows, serviceRow(service))
 		}
 	}
@@ -76,10 +73,10 @@
 	}, Rows: [][]string{}}
 	for i := range config.Services {
 		service := &config.Services[i]
-		whole := pattern.matches(string(service.Name))
+		whole := pattern.Match(string(service.Name))
 		for j := range service.Upstreams {
 			upstream := &service.Upstreams[j]
-			if whole || pattern.matches(string(upstream.ID)) {
+			if whole || pattern.Match(string(upstream.ID)) {
 				table.Rows = append(table.Rows, upstreamRow(service, upstream))
 			}
 		}
@@ -113,7 +110,7 @@
 		owned[config.Services[i].User]++
 	}
 	for _, u := range config.Users {
-		if !pattern.matches(string(u.ID)) {
+		if !pattern.Match(string(u.ID)) {
 			continue
 		}
 		table.Rows = append(table.Rows, []string{
@@ -128,7 +125,7 @@
 func OperatorTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{"operator", "user"}, Rows: [][]string{}}
 	for _, operator := range config.Operators {
-		if !pattern.matches(string(operator.Name)) {
+		if !pattern.Match(string(operator.Name)) {
 			continue
 		}
 		limit := string(operator.User)
@@ -144,7 +141,7 @@
 func LimitTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{"name", "kind", "rate", "in_flight", "weight", "queue", "wait"}, Rows: [][]string{}}
 	for _, u := range config.Users {
-		if !pattern.matches(string(u.ID)) {
+		if !pattern.Match(string(u.ID)) {
 			continue
 		}
 		table.Rows = append(table.Rows, []string{
@@ -153,7 +150,7 @@
 	}
 	for i := range config.Services {
 		service := &config.Services[i]
-		if !pattern.matches(string(service.Name)) {
+		if !pattern.Match(string(service.Name)) {
 			continue
 		}
 		table.Rows = append(table.Rows, []string{
@@ -168,7 +165,7 @@
 func ConvictionTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{"service", "fingerprint", "until"}, Rows: [][]string{}}
 	for _, conviction := range config.Convictions {
-		if !pattern.matches(string(conviction.Service)) {
+		if !pattern.Match(string(conviction.Service)) {
 			continue
 		}
 		until := "an operator pardons it"
--- a/internal/statement/value.go
+++ b/internal/statement/value.go
@@ -81,6 +81,19 @@
 	return nil
 }
 
+// UpstreamPattern matches upstreams as "service/upstream".
+type UpstreamPattern string
+
+// Capture implements participle.Capture.
+func (p *UpstreamPattern) Capture(words []string) error {
+	var pattern Pattern
+	if pattern.Capture(words) != nil || strings.Count(words[0], "/") != 1 {
+		return &ValueError{Found: words[0], Expected: "an upstream or a pattern such as counter-1/*"}
+	}
+	*p = UpstreamPattern(pattern)
+	return nil
+}
+
 // Address is an upstream's host and port.
 type Address string
 
