Start is an event like any other

Cause: a replay needs the whole input of a node's life; the first step came in by a method of its own and was not observed. Change: event.Start replaces State.Start, in the runtime and under virtual time. Conclusion: a recorded list of events is now the whole input.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,6 +21,9 @@
 // Event is an input of the reducer.
 type Event interface{ isEvent() }
 
+// Start is the first event of a node's life.
+type Start struct{}
+
 // Wake tells that the time of the earliest timer has come.
 type Wake struct{}
 
@@ -204,6 +207,7 @@
 // StopRequested starts the graceful stop; a second one ends it at once.
 type StopRequested struct{}
 
+func (Start) isEvent() {}
 func (Wake) isEvent()               {}
 func (Entry) isEvent()              {}
 func (Search) isEvent()             {}
--- a/internal/reducer/doc.go
+++ b/internal/reducer/doc.go
@@ -5,7 +5,7 @@
 // The caller's loop is:
 //
 //	state := reducer.New(settings)
-//	carryOut(state.Start(now, random))
+//	carryOut(state.Reduce(event.Envelope{Now: now, Random: random, Event: event.Start{}}))
 //	for {
 //		wait for an event, but no longer than state.NextWake()
 //		carryOut(state.Reduce(event.Envelope{Now: now, Random: random, Event: e}))
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -94,7 +94,7 @@
 // noticePause resynchronises after a gap in the node's own clock: what it
 // believed before the pause may be long out of date.
 func (s *State) noticePause(ctx *step.Context) {
-	if ctx.Now.Sub(s.last) < s.settings.PauseThreshold {
+	if s.last == 0 || ctx.Now.Sub(s.last) < s.settings.PauseThreshold {
 		return
 	}
 	ctx.Log(effect.Warning, "lifecycle", "clock gap: resynchronising",
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -101,16 +101,6 @@
 	return s
 }
 
-// Start returns the first effects of the node.
-func (s *State) Start(now model.Instant, random uint64) []effect.Effect {
-	s.last = now
-	ctx := s.context(now, random)
-	s.membership.Start(ctx)
-	s.config.Start(ctx)
-	s.startLifecycle(ctx)
-	return s.deliverOwn(ctx)
-}
-
 // NextWake returns when the next event.Wake is due, and false if no timer is
 // set.
 func (s *State) NextWake() (model.Instant, bool) { return s.timers.Next() }
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -14,6 +14,8 @@
 // stepEvent routes an event to the part that owns it.
 func (s *State) stepEvent(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
+	case event.Start:
+		s.stepStart(ctx)
 	case event.Wake:
 		s.stepWake(ctx)
 	case event.Entry:
@@ -41,6 +43,13 @@
 	}
 }
 
+// stepStart begins the node's life.
+func (s *State) stepStart(ctx *step.Context) {
+	s.membership.Start(ctx)
+	s.config.Start(ctx)
+	s.startLifecycle(ctx)
+}
+
 // stepUpstream routes what upstreams send to the dispatcher.
 func (s *State) stepUpstream(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
--- a/internal/runtime/loop.go
+++ b/internal/runtime/loop.go
@@ -15,7 +15,6 @@
 
 // Machine is the reducer as the loop sees it.
 type Machine interface {
-	Start(now model.Instant, random uint64) []effect.Effect
 	Reduce(envelope event.Envelope) []effect.Effect
 	NextWake() (model.Instant, bool)
 }
@@ -69,7 +68,7 @@
 // Run feeds the reducer until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
-	l.execute(l.machine.Start(l.now(), l.random.Uint64()))
+	l.step(event.Start{})
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/internal/virtual/node.go
+++ b/internal/virtual/node.go
@@ -35,6 +35,12 @@
 	n.wake = 0
 	n.calls = make(map[model.CallID]func(effect.Effect))
 	n.connections = make(map[model.ConnectionID]*connection)
+	n.state = reducer.New(n.settings())
+	n.deliver(event.Start{})
+}
+
+// settings returns the settings of the node's present life.
+func (n *node) settings() reducer.Settings {
 	settings := reducer.DefaultSettings(model.Member{
 		Host:          n.spec.Host,
 		Incarnation:   n.incarnation,
@@ -45,9 +51,7 @@
 	if n.world.options.Tune != nil {
 		n.world.options.Tune(&settings)
 	}
-	n.state = reducer.New(settings)
-	n.execute(n.state.Start(n.world.now, n.world.Random.Uint64()))
-	n.scheduleWake()
+	return settings
 }
 
 // newCall opens a call.
--- a/internal/virtual/world.go
+++ b/internal/virtual/world.go
@@ -146,6 +146,9 @@
 // State returns the reducer of a host's present life.
 func (w *World) State(host model.HostID) *reducer.State { return w.node(host).state }
 
+// Settings returns the settings of a host's present life, for a replay.
+func (w *World) Settings(host model.HostID) reducer.Settings { return w.node(host).settings() }
+
 // Incarnation returns the number of a host's present life.
 func (w *World) Incarnation(host model.HostID) model.Incarnation { return w.node(host).incarnation }
 
