--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -207,7 +207,7 @@
 // StopRequested starts the graceful stop; a second one ends it at once.
 type StopRequested struct{}
 
-func (Start) isEvent() {}
+func (Start) isEvent()              {}
 func (Wake) isEvent()               {}
 func (Entry) isEvent()              {}
 func (Search) isEvent()             {}
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
 // Dump is the state dump: what the node believes, taken between two events.
@@ -20,18 +19,24 @@
 	InFlight       int `json:"in_flight"`
 }
 
-// dump encodes the state as JSON.
-func (s *State) dump(ctx *step.Context) []byte {
-	encoded, err := json.Marshal(Dump{
+// Describe returns the state dump.
+func (s *State) Describe() Dump {
+	config := s.config.InForce()
+	return Dump{
 		Self:           s.membership.Self(),
 		State:          string(s.lifecycle.state),
 		Members:        s.membership.Members(),
-		Revision:       ctx.Config.Revision,
-		Config:         ctx.Config,
+		Revision:       config.Revision,
+		Config:         config,
 		KnownUpstreams: s.catalog.Len(),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
-	})
+	}
+}
+
+// dump encodes the state as JSON.
+func (s *State) dump() []byte {
+	encoded, err := json.Marshal(s.Describe())
 	if err != nil {
 		return []byte(`{"error":"the state could not be encoded"}`)
 	}
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -171,5 +171,5 @@
 
 // stepDump returns the state as JSON.
 func (s *State) stepDump(ctx *step.Context, e event.DumpRequest) {
-	ctx.Emit(effect.ReplyDump{Call: e.Call, JSON: s.dump(ctx)})
+	ctx.Emit(effect.ReplyDump{Call: e.Call, JSON: s.dump()})
 }
