--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -27,7 +27,7 @@
 		State:          string(s.lifecycle.state),
 		Members:        s.membership.Members(),
 		Revision:       config.Revision,
-		Config:         config,
+		Config:         config.WithoutKeys(),
 		KnownUpstreams: s.catalog.Len(),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
--- a/internal/reducer/query/request.go
+++ b/internal/reducer/query/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/outcome"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 )
 
@@ -34,6 +35,9 @@
 	// unsettled counts the tasks that are open.
 	unsettled int
 	attempts  []attempt
+	// planned counts the first attempts, and extra all others.
+	planned int
+	extra   int
 	// wakeAt is when the pending timer fires; zero means none.
 	wakeAt model.Instant
 
@@ -46,8 +50,8 @@
 	restarted bool
 	// versionGone is true when a task failed for want of the pinned version.
 	versionGone bool
-	// mayHaveRun is true once the work may have run on an upstream.
-	mayHaveRun bool
+	// ledger tells whether the work may have reached an upstream.
+	ledger outcome.Ledger
 	// reason and retryAfter are those of the last refusal.
 	reason     model.Code
 	retryAfter time.Duration
@@ -141,3 +145,13 @@
 	t.hedgeAt = 0
 	r.unsettled--
 }
+
+// serviceConfigs returns the request's services as they were when it was
+// admitted.
+func (r *request) serviceConfigs() []*model.Service {
+	configs := make([]*model.Service, len(r.services))
+	for i := range r.services {
+		configs[i] = r.services[i].config
+	}
+	return configs
+}
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -91,9 +91,7 @@
 		return
 	}
 	s.endAttempt(r, index)
-	if !m.Status.NotRun() {
-		r.mayHaveRun = true
-	}
+	r.ledger.Settle(m.Status)
 	if m.Crash {
 		s.handleCrash(ctx, r, a, m)
 	}
@@ -213,7 +211,7 @@
 	if r.mayRepeat(t, m.Status) && s.retry(ctx, r, a.task, a.replica.Domain) {
 		return
 	}
-	if m.Status == message.StatusVersionGone {
+	if m.Status == message.StatusVersionGone && !r.isOrder() {
 		r.versionGone = true
 	}
 	r.settle(t, taskFailed)
