--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -120,9 +120,11 @@
 		case <-time.After(time.Until(due)):
 		}
 		r.open <- struct{}{}
+		dueAt := due
 		r.requests.Go(func() {
 			defer func() { <-r.open }()
-			r.recorder.add(r.request(ctx, number), time.Since(due))
+			outcome := r.request(ctx, number)
+			r.recorder.add(outcome, time.Since(dueAt))
 		})
 	}
 }
--- a/internal/reducer/snapshot/catalog.go
+++ b/internal/reducer/snapshot/catalog.go
@@ -341,5 +341,14 @@
 	return configured != nil && configured.Draining
 }
 
-// Len returns the number of upstreams with a report.
-func (c *Catalog) Len() int { return 0 }
+// Len returns the number of upstreams whose last report says that they can be
+// reached.
+func (c *Catalog) Len() int {
+	reachable := 0
+	for _, r := range c.records {
+		if r.Reachable {
+			reachable++
+		}
+	}
+	return reachable
+}
