--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -102,6 +102,7 @@
 	case timer.Config:
 		s.configChanged(ctx, s.config.HandleTimer(ctx, due.ID))
 	case timer.Membership:
+		s.membership.SetConvictions(s.quarantine.Hash())
 		s.viewChanged(ctx, s.membership.HandleTimer(ctx, due.ID))
 	case timer.Lifecycle:
 		s.handleLifecycleTimer(ctx)
@@ -120,6 +121,7 @@
 func (s *State) stepDigest(ctx *step.Context, from model.HostID, m message.Digest) {
 	changed := s.membership.HandleDigest(ctx, from, m)
 	s.config.HandleDigest(ctx, from, m)
+	s.quarantine.HandleDigest(ctx, from, m)
 	s.viewChanged(ctx, changed)
 }
 
@@ -129,6 +131,7 @@
 		return
 	}
 	ctx.Self = s.membership.Self()
+	s.query.HandleView()
 	s.dispatch.HandleConfig(ctx)
 	s.session.HandleView(ctx)
 }
@@ -173,5 +176,5 @@
 
 // stepDump returns the state as JSON.
 func (s *State) stepDump(ctx *step.Context, e event.DumpRequest) {
-	ctx.Emit(effect.ReplyDump{Call: e.Call, JSON: s.dump()})
+	ctx.Emit(effect.ReplyDump{Call: e.Call, JSON: s.dump(ctx)})
 }
--- a/internal/virtual/deploy.go
+++ b/internal/virtual/deploy.go
@@ -110,7 +110,7 @@
 		w.RunFor(deployStep)
 		all := true
 		for _, n := range w.nodes {
-			all = all && (!n.alive || met(n.state.Describe()))
+			all = all && (!n.alive || met(n.state.Describe(w.now)))
 		}
 		if all {
 			return true
