--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -4,7 +4,11 @@
 	"encoding/json"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -17,15 +21,26 @@
 	Config   *model.Config  `json:"config"`
 	// KnownUpstreams is the number of upstreams with a report in the catalog.
 	KnownUpstreams int `json:"known_upstreams"`
+	// Dispatch and Admission describe what the node does for upstreams and users.
+	Dispatch  dispatch.Description  `json:"dispatch"`
+	Admission admission.Description `json:"admission"`
 	// Query is the coordinator's part.
 	Query    query.Description `json:"query"`
 	Timers   int               `json:"timers"`
 	InFlight int               `json:"in_flight"`
+	// Session and Quarantine describe kept outcomes and convictions.
+	Session    session.Description    `json:"session"`
+	Quarantine quarantine.Description `json:"quarantine"`
 }
 
-// dump encodes the state as JSON.
-func (s *State) dump(ctx *step.Context) []byte {
-	encoded, err := json.Marshal(Dump{
+// Describe returns the state dump as it stands at a time.
+func (s *State) Describe(now model.Instant) Dump {
+	return s.describe(s.context(now, 0))
+}
+
+// describe gathers the descriptions of the parts.
+func (s *State) describe(ctx *step.Context) Dump {
+	return Dump{
 		Self:           s.membership.Self(),
 		State:          string(s.lifecycle.state),
 		Members:        s.membership.Members(),
@@ -35,7 +50,16 @@
 		Query:          s.query.Describe(ctx),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
-	})
+		Session:        s.session.Describe(ctx.Now),
+		Quarantine:     s.quarantine.Describe(ctx.Now),
+		Dispatch:       s.dispatch.Describe(ctx.Now),
+		Admission:      s.admission.Describe(),
+	}
+}
+
+// dump encodes the state as JSON.
+func (s *State) dump(ctx *step.Context) []byte {
+	encoded, err := json.Marshal(s.describe(ctx))
 	if err != nil {
 		return []byte(`{"error":"the state could not be encoded"}`)
 	}
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -46,6 +46,7 @@
 	}
 	s.lifecycle.state = model.Serving
 	s.membership.SetState(ctx, model.Serving)
+	s.viewChanged(ctx, true)
 	ctx.Log(effect.Info, "lifecycle", "serving")
 }
 
@@ -58,6 +59,7 @@
 	s.lifecycle.state = model.Leaving
 	s.lifecycle.stopped = ctx.Now
 	s.membership.SetState(ctx, model.Leaving)
+	s.viewChanged(ctx, true)
 	ctx.Log(effect.Info, "lifecycle", "leaving")
 }
 
@@ -94,7 +96,7 @@
 // noticePause resynchronises after a gap in the node's own clock: what it
 // believed before the pause may be long out of date.
 func (s *State) noticePause(ctx *step.Context) {
-	if ctx.Now.Sub(s.last) < s.settings.PauseThreshold {
+	if s.last == 0 || ctx.Now.Sub(s.last) < s.settings.PauseThreshold {
 		return
 	}
 	ctx.Log(effect.Warning, "lifecycle", "clock gap: resynchronising",
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -13,6 +13,8 @@
 // stepEvent routes an event to the part that owns it.
 func (s *State) stepEvent(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
+	case event.Start:
+		s.stepStart(ctx)
 	case event.Wake:
 		s.stepWake(ctx)
 	case event.Entry:
@@ -40,6 +42,13 @@
 	}
 }
 
+// stepStart begins the node's life.
+func (s *State) stepStart(ctx *step.Context) {
+	s.membership.Start(ctx)
+	s.config.Start(ctx)
+	s.startLifecycle(ctx)
+}
+
 // stepUpstream routes what upstreams send to the dispatcher.
 func (s *State) stepUpstream(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
@@ -92,6 +101,7 @@
 	case timer.Config:
 		s.configChanged(ctx, s.config.HandleTimer(ctx, due.ID))
 	case timer.Membership:
+		s.membership.SetConvictions(s.quarantine.Hash())
 		s.viewChanged(ctx, s.membership.HandleTimer(ctx, due.ID))
 	case timer.Lifecycle:
 		s.handleLifecycleTimer(ctx)
@@ -110,6 +120,7 @@
 func (s *State) stepDigest(ctx *step.Context, from model.HostID, m message.Digest) {
 	changed := s.membership.HandleDigest(ctx, from, m)
 	s.config.HandleDigest(ctx, from, m)
+	s.quarantine.HandleDigest(ctx, from, m)
 	s.viewChanged(ctx, changed)
 }
 
