--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -16,6 +16,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/show"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
@@ -75,6 +76,7 @@
 	dispatch   *dispatch.State
 	query      *query.State
 	session    *session.State
+	show       *show.Answerer
 	lifecycle  lifecycle
 	// last is the time of the last event.
 	last model.Instant
@@ -102,19 +104,10 @@
 	s.session = session.New(s.query)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
+	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session})
 	return s
 }
 
-// Start returns the first effects of the node.
-func (s *State) Start(now model.Instant, random uint64) []effect.Effect {
-	s.last = now
-	ctx := s.context(now, random)
-	s.membership.Start(ctx)
-	s.config.Start(ctx)
-	s.startLifecycle(ctx)
-	return s.deliverOwn(ctx)
-}
-
 // NextWake returns when the next event.Wake is due, and false if no timer is
 // set.
 func (s *State) NextWake() (model.Instant, bool) { return s.timers.Next() }
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -5,7 +5,6 @@
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/show"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
 	"github.com/hawthorntack/hawthorntack/internal/statement"
@@ -14,6 +13,8 @@
 // stepEvent routes an event to the part that owns it.
 func (s *State) stepEvent(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
+	case event.Start:
+		s.stepStart(ctx)
 	case event.Wake:
 		s.stepWake(ctx)
 	case event.Entry:
@@ -41,6 +42,13 @@
 	}
 }
 
+// stepStart begins the node's life.
+func (s *State) stepStart(ctx *step.Context) {
+	s.membership.Start(ctx)
+	s.config.Start(ctx)
+	s.startLifecycle(ctx)
+}
+
 // stepUpstream routes what upstreams send to the dispatcher.
 func (s *State) stepUpstream(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
@@ -162,7 +170,7 @@
 
 // answerQuestions answers an operator's questions from the node's own state.
 func (s *State) answerQuestions(ctx *step.Context, e event.Statement, questions []statement.Question) {
-	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: show.Answer(ctx, e.Operator, questions)})
+	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: s.show.Answer(ctx, e.Operator, questions)})
 }
 
 // stepDump returns the state as JSON.
