Experiment M1: a straggler, hedges and replica choice

Cause: nothing measured the coordinator's policies.

Change: package lab sets up a virtual world of today's size and drives an open loop of searches that checks every answer; experiment m1-straggler compares five policies under four faults. The baselines are settings of the coordinator.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -21,7 +21,9 @@
 
 // All returns every experiment, in the order of the measurements' numbers.
 func All() []Experiment {
-	return []Experiment{}
+	return []Experiment{
+		straggler(),
+	}
 }
 
 // ByName returns the named experiment, and false if there is none.
--- /dev/null
+++ b/internal/experiment/lab/lab_test.go
@@ -0,0 +1,37 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// spec returns a small cluster.
+func spec(seed uint64) Spec {
+	return Spec{
+		Seed: seed, Hosts: 3, Services: 2, Replicas: 3, Slots: 2, Connections: 25,
+		Policy:      "deadline 500ms coverage at least 100% repeat yes",
+		ServiceTime: func(r *rand.Rand) time.Duration { return time.Duration(r.IntN(5)+1) * time.Millisecond },
+	}
+}
+
+// TestLoadRepeatsBySeed checks that two runs of one seed see the same, and that
+// every answer is whole and true.
+func TestLoadRepeatsBySeed(t *testing.T) {
+	load := Load{Rate: 100, Warmup: time.Second, Duration: time.Second, Services: []string{"counter-*"}, Seed: 3}
+	var results []*Result
+	for range 2 {
+		cluster, err := Start(spec(3))
+		if err != nil {
+			t.Fatal(err)
+		}
+		results = append(results, cluster.Run(load))
+	}
+	first := results[0]
+	if first.Sent == 0 || first.Answered != first.Sent || first.Mixed+first.Foreign+first.Untrue > 0 {
+		t.Fatalf("got %+v", first)
+	}
+	if first.Quantile(99) != results[1].Quantile(99) || first.Attempts != results[1].Attempts || first.Runs != results[1].Runs {
+		t.Fatalf("%+v differs from %+v", first, results[1])
+	}
+}
--- /dev/null
+++ b/internal/experiment/m1_straggler.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/experiment/lab"
+	"github.com/hawthorntack/hawthorntack/internal/reducer"
+	"github.com/hawthorntack/hawthorntack/internal/virtual"
+)
+
+// The sizes of experiment M1: the counter services of Versos Aránguiz.
+const (
+	m1Hosts       = 4
+	m1Services    = 10
+	m1Replicas    = 3
+	m1Slots       = 2
+	m1Connections = 25
+	// m1Rate is in searches a second, each to all services.
+	m1Rate     = 400
+	m1Warmup   = 3 * time.Second
+	m1Duration = 15 * time.Second
+	// m1Factor is how many times slower the straggler is.
+	m1Factor = 20
+	// m1FixedDelay is the hedge delay of the baseline.
+	m1FixedDelay = 10 * time.Millisecond
+	// m1KillAfter is when the lost node is lost, within the measured time.
+	m1KillAfter = m1Warmup + 5*time.Second
+)
+
+// The targets of experiment M1.
+const (
+	m1LatencyTarget = 1.5
+	m1ExtraTarget   = 5.0
+)
+
+// m1Policy is one way to deal with a straggler.
+type m1Policy struct {
+	name   string
+	budget string
+	tune   func(*reducer.Settings)
+}
+
+// m1Fault is what goes wrong.
+type m1Fault struct {
+	name      string
+	straggler bool
+	lostNode  bool
+}
+
+// straggler is experiment M1.
+func straggler() Experiment {
+	return Experiment{
+		Name:    "m1-straggler",
+		Summary: "one replica in 30 is 20 times slower than the others",
+		Run:     runStraggler,
+	}
+}
+
+func m1Policies() []m1Policy {
+	return []m1Policy{
+		{"random replica, no hedge", "0%", func(s *reducer.Settings) { s.Query.RandomReplica = true }},
+		{"replica choice, no hedge", "0%", nil},
+		{"random replica, fixed delay", "5%", func(s *reducer.Settings) {
+			s.Query.RandomReplica = true
+			s.Query.FixedHedgeDelay = m1FixedDelay
+		}},
+		{"replica choice, fixed delay", "5%", func(s *reducer.Settings) { s.Query.FixedHedgeDelay = m1FixedDelay }},
+		{"replica choice, budgeted quantile", "5%", nil},
+	}
+}
+
+// runStraggler measures each policy without a fault, with a straggler, with a
+// lost node, and with both.
+func runStraggler(seed uint64) (Report, error) {
+	report := Report{
+		Columns: []string{"fault", "policy", "p50 ms", "p99 ms", "p99.9 ms", "p99 ratio", "extra load %", "coverage %", "partial", "not run", "unknown", "lost"},
+		Notes: []string{
+			fmt.Sprintf("Target with a straggler: p99 ratio at most %g (to the same policy without a fault), extra load at most %g%%.", m1LatencyTarget, m1ExtraTarget),
+			fmt.Sprintf("%d searches/s, each to %d services of %d upstreams with %d slots, for %v of virtual time.", m1Rate, m1Services, m1Replicas, m1Slots, m1Duration),
+			"Lost are the searches that the killed node was coordinating.",
+		},
+	}
+	faults := []m1Fault{
+		{name: "none"},
+		{name: "straggler", straggler: true},
+		{name: "lost node", lostNode: true},
+		{name: "straggler and lost node", straggler: true, lostNode: true},
+	}
+	base := make(map[string]time.Duration)
+	for _, fault := range faults {
+		for _, policy := range m1Policies() {
+			result, err := runM1(seed, policy, fault)
+			if err != nil {
+				return Report{}, err
+			}
+			if fault.name == "none" {
+				base[policy.name] = result.Quantile(99)
+			}
+			report.Rows = append(report.Rows, m1Row(fault, policy, result, base[policy.name]))
+		}
+	}
+	return report, nil
+}
+
+// m1Row formats one result.
+func m1Row(fault m1Fault, policy m1Policy, result *lab.Result, base time.Duration) []string {
+	return []string{
+		fault.name, policy.name,
+		milliseconds(result.Quantile(50)), milliseconds(result.Quantile(99)), milliseconds(result.Quantile(99.9)),
+		fmt.Sprintf("%.2f", float64(result.Quantile(99))/float64(base)),
+		fmt.Sprintf("%.2f", result.ExtraLoad()), fmt.Sprintf("%.3f", result.Coverage()),
+		fmt.Sprint(result.Partial), fmt.Sprint(result.NotRun), fmt.Sprint(result.Unknown), fmt.Sprint(result.Lost),
+	}
+}
+
+// milliseconds formats a duration.
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond))
+}
+
+// serviceTime draws 2 ms and an exponential time with a mean of 2 ms.
+func serviceTime(r *rand.Rand) time.Duration {
+	return 2*time.Millisecond + time.Duration(2*r.ExpFloat64()*float64(time.Millisecond))
+}
+
+// runM1 measures one policy under one fault.
+func runM1(seed uint64, policy m1Policy, fault m1Fault) (*lab.Result, error) {
+	cluster, err := lab.Start(lab.Spec{
+		Seed: seed, Hosts: m1Hosts, Services: m1Services, Replicas: m1Replicas,
+		Slots: m1Slots, Connections: m1Connections,
+		Policy: "answer at deadline deadline 500ms coverage at least 90% repeat yes hedge budget " + policy.budget +
+			" retry budget 10% refuse queue 64 wait 400ms",
+		Tune:        policy.tune,
+		ServiceTime: serviceTime,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("policy %q: %w", policy.name, err)
+	}
+	if fault.straggler {
+		slowDown(cluster.Upstream(lab.UpstreamID(0, 0)))
+	}
+	if fault.lostNode {
+		cluster.After(m1KillAfter, func() { cluster.Kill(cluster.Hosts()[m1Hosts-1]) })
+	}
+	return cluster.Run(lab.Load{
+		Rate: m1Rate, Warmup: m1Warmup, Duration: m1Duration, Services: []string{"counter-*"}, Seed: seed,
+	}), nil
+}
+
+// slowDown makes an upstream a straggler.
+func slowDown(u *virtual.Upstream) {
+	u.ServiceTime = func(r *rand.Rand) time.Duration { return m1Factor * serviceTime(r) }
+}
--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -48,8 +48,9 @@
 
 // State holds the open searches and orders that this node coordinates.
 type State struct {
-	parts Parts
-	sink  OrderSink
+	parts    Parts
+	settings Settings
+	sink     OrderSink
 
 	// nextRequest and nextAttempt are the last numbers given out.
 	nextRequest uint64
@@ -73,10 +74,14 @@
 	index int
 }
 
-// New returns a state without open requests.
-func New(parts Parts) *State {
+// New returns a state without open requests and with the default settings.
+func New(parts Parts) *State { return NewWith(parts, Settings{}) }
+
+// NewWith returns a state without open requests.
+func NewWith(parts Parts, settings Settings) *State {
 	return &State{
 		parts:     parts,
+		settings:  settings,
 		requests:  make(map[uint64]*request),
 		calls:     make(map[model.CallID]*request),
 		attempts:  make(map[uint64]attemptRef),
--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -202,7 +203,7 @@
 func (t *Table) rate(candidates []candidate, replicas []*snapshot.Replica, wish Wish) []candidate {
 	fastest := t.fastest(replicas)
 	for _, r := range replicas {
-		if !r.Usable() || contains(wish.Tried, r.ID) {
+		if !r.Usable() || slices.Contains(wish.Tried, r.ID) {
 			continue
 		}
 		s := t.of(r.ID)
@@ -252,11 +253,17 @@
 	return w
 }
 
-func contains(ids []model.UpstreamID, id model.UpstreamID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
+// ChooseRandom returns any usable replica that was not tried. It is the baseline
+// that Choose is measured against.
+func ChooseRandom(replicas []*snapshot.Replica, wish Wish, random *rand.Rand) *snapshot.Replica {
+	usable := make([]*snapshot.Replica, 0, len(replicas))
+	for _, r := range replicas {
+		if r.Usable() && !slices.Contains(wish.Tried, r.ID) {
+			usable = append(usable, r)
 		}
 	}
-	return false
+	if len(usable) == 0 {
+		return nil
+	}
+	return usable[random.IntN(len(usable))]
 }
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -237,7 +237,7 @@
 func (s *State) retry(ctx *step.Context, r *request, index int, failed model.FailureDomain) bool {
 	t := &r.tasks[index]
 	service := r.serviceOf(t)
-	chosen := s.parts.choose(ctx, s.replicas, t.replicas, replica.Wish{Avoid: failed, Tried: r.tried(index)})
+	chosen := s.choose(ctx, t.replicas, replica.Wish{Avoid: failed, Tried: r.tried(index)})
 	if chosen == nil {
 		return false
 	}
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -46,7 +46,7 @@
 	t := &r.tasks[index]
 	service := r.serviceOf(t)
 	policy := &service.config.Policy
-	chosen := s.parts.choose(ctx, s.replicas, t.replicas, replica.Wish{})
+	chosen := s.choose(ctx, t.replicas, replica.Wish{})
 	if chosen == nil || !s.send(ctx, r, index, chosen, firstAttempt) {
 		r.settle(t, taskFailed)
 		r.noteReason(model.CodeUnavailable, defaultRetryAfter)
@@ -63,16 +63,22 @@
 		return
 	}
 	t.hedgeDelay, _ = service.stats.hedgeDelay(t.shard, policy)
+	if s.settings.FixedHedgeDelay > 0 && policy.Repeatable {
+		t.hedgeDelay = s.settings.FixedHedgeDelay
+	}
 	if t.hedgeDelay > 0 {
 		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
 	}
 }
 
 // choose completes a wish with the node's own situation.
-func (p *Parts) choose(ctx *step.Context, table *replica.Table, replicas []*snapshot.Replica, wish replica.Wish) *snapshot.Replica {
+func (s *State) choose(ctx *step.Context, replicas []*snapshot.Replica, wish replica.Wish) *snapshot.Replica {
 	wish.Now = ctx.Now
 	wish.Domain = ctx.Self.FailureDomain
-	return table.Choose(replicas, wish, ctx.Random)
+	if s.settings.RandomReplica {
+		return replica.ChooseRandom(replicas, wish, ctx.Random)
+	}
+	return s.replicas.Choose(replicas, wish, ctx.Random)
 }
 
 // send sends one attempt to the upstream's dispatcher. It reports false when the
--- a/internal/reducer/query/timing.go
+++ b/internal/reducer/query/timing.go
@@ -63,14 +63,14 @@
 	}
 	slow := s.noteSlow(ctx, r, index)
 	wish := replica.Wish{Avoid: slow, FreeSlot: true, Tried: r.tried(index)}
-	chosen := s.parts.choose(ctx, s.replicas, t.replicas, wish)
+	chosen := s.choose(ctx, t.replicas, wish)
 	if chosen == nil {
 		ctx.Count(metricHedgesDenied, "no_slot")
 		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
 		return
 	}
 	stats := r.serviceOf(t).stats
-	if !stats.hedges.Take() {
+	if s.settings.FixedHedgeDelay == 0 && !stats.hedges.Take() {
 		ctx.Count(metricHedgesDenied, "no_budget")
 		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
 		return
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -27,6 +27,7 @@
 	Self       model.Member
 	Entry      entry.Settings
 	Membership membership.Settings
+	Query      query.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
 	// of the process.
 	PauseThreshold time.Duration
@@ -91,12 +92,12 @@
 	}
 	s.config.SetHosts(s.membership)
 	s.dispatch = dispatch.New(s.entry)
-	s.query = query.New(query.Parts{
+	s.query = query.NewWith(query.Parts{
 		Catalog:    s.catalog,
 		Placement:  s.entry,
 		Admission:  s.admission,
 		Quarantine: s.quarantine,
-	})
+	}, settings.Query)
 	s.session = session.New(s.query)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
