--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -243,6 +243,7 @@
 			CallerAddress: member.GetCallerAddress(),
 			PeerAddress:   member.GetPeerAddress(),
 			State:         model.MemberState(member.GetState()),
+			Weight:        int(member.GetWeight()),
 			Revision:      model.Revision(member.GetRevision()),
 		},
 		Sequence:       m.GetSequence(),
@@ -287,5 +288,8 @@
 		Attempt:     decodeAttempt(m.GetAttempt()),
 		Alone:       m.GetAlone(),
 		TimeLeft:    m.GetTimeLeftNanos(),
+		Convicted:   m.GetConvicted(),
+		Term:        m.GetTermNanos(),
+		Revision:    model.Revision(m.GetRevision()),
 	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -26,6 +26,8 @@
 	// Self describes the node; its State is ignored.
 	Self       model.Member
 	Entry      entry.Settings
+	Dispatch   dispatch.Settings
+	Admission  admission.Settings
 	Membership membership.Settings
 	Query      query.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
@@ -86,12 +88,12 @@
 		membership: membership.New(settings.Membership, settings.Self),
 		config:     config.New(),
 		catalog:    snapshot.NewCatalog(),
-		admission:  admission.New(),
+		admission:  admission.NewWith(settings.Admission),
 		quarantine: quarantine.New(),
 		entry:      entry.New(settings.Entry),
 	}
 	s.config.SetHosts(s.membership)
-	s.dispatch = dispatch.New(s.entry)
+	s.dispatch = dispatch.NewWith(s.entry, settings.Dispatch)
 	s.query = query.NewWith(query.Parts{
 		Catalog:    s.catalog,
 		Placement:  s.entry,
@@ -104,16 +106,6 @@
 	return s
 }
 
-// Start returns the first effects of the node.
-func (s *State) Start(now model.Instant, random uint64) []effect.Effect {
-	s.last = now
-	ctx := s.context(now, random)
-	s.membership.Start(ctx)
-	s.config.Start(ctx)
-	s.startLifecycle(ctx)
-	return s.deliverOwn(ctx)
-}
-
 // NextWake returns when the next event.Wake is due, and false if no timer is
 // set.
 func (s *State) NextWake() (model.Instant, bool) { return s.timers.Next() }
