Metrics: one counter a decision, gauges from the state dump, a checked table

Cause: a single catch-all counter hid the decisions behind two labels, and nothing kept names and docs together. Change: each effect.Metric has a definition and its own counter; gauges are read from the state dump at a scrape; docs/METRICS.md is checked against what is registered, and definitions against the reducer's constants. Conclusion: a new metric without a definition fails the test with its name.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/api"
 	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/metrics"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/platform"
 	"github.com/hawthorntack/hawthorntack/internal/reducer"
@@ -99,6 +100,7 @@
 		*l.listener = listener
 	}
 	d.node = d.newNode()
+	metrics.NewGauges(d.registry, d.node.Calls())
 	return d, nil
 }
 
--- /dev/null
+++ b/internal/metrics/definitions.go
@@ -0,0 +1,61 @@
+package metrics
+
+import "github.com/hawthorntack/hawthorntack/internal/effect"
+
+// Definition describes a counter that the reducer's parts add to by
+// effect.Count. The exported name is "hawthorntack_" and the metric.
+type Definition struct {
+	Metric effect.Metric
+	// Label names the counter's label; empty means that it has none.
+	Label string
+	Help  string
+}
+
+// Definitions lists the counters of the reducer's parts, ordered by name. A
+// counter that a part adds to must stand here and in docs/METRICS.md.
+func Definitions() []Definition {
+	return []Definition{
+		{"admission_refused_total", "code", "Requests that the node did not take on."},
+		{"config_changes_total", "outcome", "Operators' changes by outcome."},
+		{"config_fences_total", "", "Places in the log that were fenced off from a delayed write."},
+		{"config_pulls_total", "", "Requests to peers for log entries."},
+		{"config_pushes_total", "", "Messages that pushed log entries to peers."},
+		{"config_read_failures_total", "", "Reads of the store that failed."},
+		{"config_snapshots_total", "", "Snapshots of the configuration written to the store."},
+		{"config_watch_failures_total", "", "Watches of the store that failed."},
+		{"dispatch_drains_total", "sign", "Upstreams found leaving, by the first sign."},
+		{"dispatch_lost_total", "service", "Sub-requests whose connection ended without a reply."},
+		{"dispatch_mismatched_replies_total", "service", "Replies that carried another attempt's identifier."},
+		{"dispatch_refused_total", "reason", "Sub-requests refused without being sent."},
+		{"dispatch_requeued_total", "", "Sub-requests put back because their connection had ended before the write."},
+		{"dispatch_shed_total", "", "Sub-requests that an upstream shed."},
+		{"dispatch_upstream_crashes_total", "service", "Ends of connections that look like a crash of the upstream."},
+		{"query_callers_gone_total", "", "Requests whose caller closed them."},
+		{"query_canaries_total", "", "Searches that sent one canary first."},
+		{"query_crashes_total", "", "Crashes reported to a coordinator."},
+		{"query_hedges_denied_total", "reason", "Hedges that were due and not sent."},
+		{"query_hedges_total", "", "Hedges sent."},
+		{"query_invalid_parts_total", "", "Parts that the merge did not admit."},
+		{"query_low_coverage_total", "", "Searches that ended below the least coverage."},
+		{"query_partial_answers_total", "", "Searches answered without some shards."},
+		{"query_refused_total", "code", "Requests that a coordinator refused."},
+		{"query_reroutes_total", "", "Sub-requests sent to another dispatcher of the same upstream."},
+		{"query_restarts_total", "", "Searches restarted on another snapshot."},
+		{"query_retries_denied_total", "reason", "Retries that were due and not sent."},
+		{"query_retries_total", "", "Retries sent."},
+		{"query_unmatched_results_total", "reason", "Results that belong to no open attempt."},
+		{"quarantine_cleared_total", "service", "Suspects that ran to their end."},
+		{"quarantine_convictions_total", "service", "Request contents convicted of crashing upstreams."},
+		{"quarantine_refusals_total", "service", "Requests refused for their content."},
+		{"quarantine_suspicions_total", "service", "Request contents under suspicion."},
+		{"session_forwards_total", "", "Orders forwarded to their home."},
+		{"session_handovers_total", "outcome", "Handovers of a stopping home's sessions."},
+		{"session_orders_refused_total", "code", "Orders that a home refused."},
+		{"session_orders_started_total", "service", "Orders started by their home."},
+		{"session_resends_total", "service", "Orders that were known already."},
+		{"session_unknown_total", "code", "Orders whose outcome is unknown."},
+		{"snapshot_invalid_maps_total", "", "Partition maps that do not tile the key space."},
+		{"snapshot_map_conflicts_total", "", "Partition maps that differ for one version."},
+		{"snapshot_stale_reports_total", "", "Reports older than the one that is kept."},
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,12 +18,18 @@
 
 // Observer counts what the reducer decides.
 type Observer struct {
-	requests  *prometheus.CounterVec
-	latency   *prometheus.HistogramVec
-	coverage  prometheus.Histogram
-	attempts  *prometheus.CounterVec
-	decisions *prometheus.CounterVec
-	step      prometheus.Histogram
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	coverage prometheus.Histogram
+	attempts *prometheus.CounterVec
+	counters map[effect.Metric]counter
+	step     prometheus.Histogram
+}
+
+// counter is a counter of a reducer's part.
+type counter struct {
+	vector  *prometheus.CounterVec
+	labeled bool
 }
 
 // NewObserver registers the metrics and returns their observer.
@@ -47,20 +53,34 @@
 			Name: "hawthorntack_dispatch_attempts_total",
 			Help: "Sub-requests written to upstreams, by kind.",
 		}, []string{"kind"}),
-		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "hawthorntack_reducer_decisions_total",
-			Help: "Decisions of the reducer's parts.",
-		}, []string{"decision", "label"}),
+		counters: make(map[effect.Metric]counter),
 		step: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "hawthorntack_reducer_step_seconds",
 			Help:    "Time that the reducer takes for an event.",
 			Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10),
 		}),
 	}
-	registry.MustRegister(o.requests, o.latency, o.coverage, o.attempts, o.decisions, o.step)
+	registry.MustRegister(o.requests, o.latency, o.coverage, o.attempts, o.step)
+	for _, d := range Definitions() {
+		o.register(registry, d)
+	}
 	return o
 }
 
+// register adds the counter of a definition.
+func (o *Observer) register(registry prometheus.Registerer, d Definition) {
+	var labels []string
+	if d.Label != "" {
+		labels = []string{d.Label}
+	}
+	vector := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hawthorntack_" + string(d.Metric), Help: d.Help}, labels)
+	registry.MustRegister(vector)
+	o.counters[d.Metric] = counter{vector: vector, labeled: d.Label != ""}
+	if d.Label == "" {
+		vector.WithLabelValues()
+	}
+}
+
 // Observe counts one step.
 func (o *Observer) Observe(_ event.Envelope, effects []effect.Effect, elapsed time.Duration) {
 	o.step.Observe(elapsed.Seconds())
@@ -82,8 +102,22 @@
 	case effect.SendUpstream:
 		o.attempts.WithLabelValues(attemptKind(e)).Inc()
 	case effect.Count:
-		o.decisions.WithLabelValues(string(e.Metric), e.Label).Add(e.Delta)
+		o.count(e)
+	}
+}
+
+// count adds to a counter. One that has no definition is dropped; a test keeps
+// the definitions complete.
+func (o *Observer) count(e effect.Count) {
+	c, ok := o.counters[e.Metric]
+	if !ok {
+		return
+	}
+	if c.labeled {
+		c.vector.WithLabelValues(e.Label).Add(e.Delta)
+		return
 	}
+	c.vector.WithLabelValues().Add(e.Delta)
 }
 
 // attemptKind tells first attempts from hedges.
