A sealed home gives up on a successor 2 s after the first search

Cause: the wait was counted from the seal plus the longest drain, so that a node without running orders and without a live successor lingered for 12 s. Ruled out: the drain itself; no order was running. Change: the wait is counted from the first search in vain.

--- a/internal/reducer/session/handover.go
+++ b/internal/reducer/session/handover.go
@@ -49,12 +49,14 @@
 
 // handover is the passing of this node's sessions to a successor.
 type handover struct {
-	phase   phase
-	began   model.Instant
-	attempt uint64
-	to      model.Member
-	parts   []message.SessionHandover
-	acked   []bool
+	phase phase
+	began model.Instant
+	// searched is when a successor was first looked for in vain; zero before.
+	searched model.Instant
+	attempt  uint64
+	to       model.Member
+	parts    []message.SessionHandover
+	acked    []bool
 }
 
 // Seal ends the node's sessions for good and starts the handover to a successor.
@@ -110,11 +112,15 @@
 	o := s.handover
 	to, found := bestSuccessor(ctx)
 	if !found {
-		if ctx.Now.Sub(o.began) >= s.settings.DrainFor+successorWait || len(ctx.View.Members()) <= 1 {
+		if o.searched == 0 {
+			o.searched = ctx.Now
+		}
+		if ctx.Now.Sub(o.searched) >= successorWait || len(ctx.View.Members()) <= 1 {
 			s.giveUp(ctx, "no member can take the sessions over")
 		}
 		return
 	}
+	o.searched = 0
 	o.phase = sending
 	o.attempt++
 	o.to = to
