--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -1,12 +1,22 @@
 package main
 
 import (
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// Bounds of waiting for a process.
+const (
+	readyTimeout = 30 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
 // TestMain lets the scripts run the command itself.
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
@@ -18,5 +28,45 @@
 
 // TestScripts runs the command line as a user would.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: setFreePorts,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"waitfor": waitFor,
+		},
+	})
+}
+
+// freePorts is how many addresses a script may listen on: $ADDRESS1 and so on.
+const freePorts = 8
+
+// setFreePorts gives a script loopback addresses that are free.
+func setFreePorts(env *testscript.Env) error {
+	for i := range freePorts {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer listener.Close()
+		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), listener.Addr().String())
+	}
+	return nil
+}
+
+// waitFor waits until a URL answers with status 200: "waitfor URL".
+func waitFor(ts *testscript.TestScript, negated bool, arguments []string) {
+	if negated || len(arguments) != 1 {
+		ts.Fatalf("usage: waitfor URL")
+	}
+	for begin := time.Now(); time.Since(begin) < readyTimeout; time.Sleep(readyPoll) {
+		response, err := http.Get(arguments[0])
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	ts.Fatalf("%s did not answer", arguments[0])
 }
--- a/cmd/hawthorntack/node.go
+++ b/cmd/hawthorntack/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/labstack/gommon/bytes"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hawthorntack/hawthorntack/internal/daemon"
@@ -109,6 +110,12 @@
 			return daemon.Options{}, err
 		}
 	}
+	if err := checkURL("--platform", c.Platform); err != nil {
+		return daemon.Options{}, err
+	}
+	if _, err := bytes.Parse(c.BodyLimit); err != nil {
+		return daemon.Options{}, &UsageError{Setting: "--body-limit", Reason: err.Error()}
+	}
 	tune, err := c.tune()
 	if err != nil {
 		return daemon.Options{}, err
--- a/cmd/hawthorntack/settings.go
+++ b/cmd/hawthorntack/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/url"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -44,6 +45,18 @@
 	return nil
 }
 
+// checkURL checks that a setting is a URL with a host.
+func checkURL(setting, text string) error {
+	parsed, err := url.Parse(text)
+	if err != nil {
+		return &UsageError{Setting: setting, Reason: err.Error()}
+	}
+	if (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+		return &UsageError{Setting: setting, Reason: text + " is not an http or https URL"}
+	}
+	return nil
+}
+
 // usageOf turns an address that cannot be listened on into a usage error.
 func usageOf(err error) error {
 	var listen *daemon.ListenError
