Reducer: one context and one effect list for all steps

Cause: each step allocated its context, a random source and two effect lists. Change: they live in the state; the returned slice is valid until the next call. Under virtual time the effects are copied, because a reply may lead to the next request within the same step; the runtime queues events and needs no copy.

--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -81,6 +81,10 @@
 	lifecycle  lifecycle
 	// last is the time of the last event.
 	last model.Instant
+	// ctx, source and out are used again by every step.
+	ctx    step.Context
+	source *rand.PCG
+	out    []effect.Effect
 }
 
 // New returns the state of a node that has just started.
@@ -93,6 +97,7 @@
 		admission:  admission.NewWith(settings.Admission),
 		quarantine: quarantine.New(),
 		entry:      entry.New(settings.Entry),
+		source:     rand.NewPCG(0, 0),
 	}
 	s.config.SetHosts(s.membership)
 	s.dispatch = dispatch.NewWith(s.entry, settings.Dispatch)
@@ -105,6 +110,7 @@
 	s.session = session.New(s.query)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
+	s.ctx = step.Context{Random: rand.New(s.source), View: s.membership, Timers: &s.timers}
 	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session})
 	return s
 }
@@ -113,7 +119,8 @@
 // set.
 func (s *State) NextWake() (model.Instant, bool) { return s.timers.Next() }
 
-// Reduce applies one event and returns what the runtime is to do.
+// Reduce applies one event and returns what the runtime is to do. The returned
+// slice is valid until the next call.
 func (s *State) Reduce(envelope event.Envelope) []effect.Effect {
 	ctx := s.context(envelope.Now, envelope.Random)
 	s.noticePause(ctx)
@@ -122,32 +129,31 @@
 	return s.deliverOwn(ctx)
 }
 
-// context returns the surroundings of one step.
+// context returns the surroundings of one step, in memory that the next step
+// uses again.
 func (s *State) context(now model.Instant, random uint64) *step.Context {
-	return &step.Context{
-		Now:    now,
-		Random: rand.New(rand.NewPCG(random, uint64(now))),
-		Self:   s.membership.Self(),
-		Config: s.config.InForce(),
-		View:   s.membership,
-		Timers: &s.timers,
-	}
+	s.source.Seed(random, uint64(now))
+	s.ctx.Now = now
+	s.ctx.Self = s.membership.Self()
+	s.ctx.Config = s.config.InForce()
+	s.ctx.Effects = s.ctx.Effects[:0]
+	return &s.ctx
 }
 
 // deliverOwn delivers the messages that the node sent to itself and returns the
 // remaining effects.
 func (s *State) deliverOwn(ctx *step.Context) []effect.Effect {
 	self := s.settings.Self.Host
-	var out []effect.Effect
+	s.out = s.out[:0]
 	for i := 0; i < len(ctx.Effects); i++ {
 		send, ok := ctx.Effects[i].(effect.SendPeer)
 		if !ok || send.To != self {
-			out = append(out, ctx.Effects[i])
+			s.out = append(s.out, ctx.Effects[i])
 			continue
 		}
 		s.stepMessage(ctx, self, s.settings.Self.Incarnation, send.Message)
 	}
-	return out
+	return s.out
 }
 
 // stepMessage routes a message to the part that owns it.
--- a/internal/virtual/node.go
+++ b/internal/virtual/node.go
@@ -1,6 +1,8 @@
 package virtual
 
 import (
+	"slices"
+
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -82,7 +84,9 @@
 		return
 	}
 	envelope := event.Envelope{Now: n.world.now, Random: n.world.Random.Uint64(), Event: e}
-	effects := n.state.Reduce(envelope)
+	// A reply may lead its receiver to send the next request at once, into this
+	// same reducer: the effects must outlive that step.
+	effects := slices.Clone(n.state.Reduce(envelope))
 	if n.world.options.Observe != nil {
 		n.world.options.Observe(n.spec.Host, envelope, effects)
 	}
