A paused virtual node does not wake

Cause: a paused node's due timer was put back at the same instant without end, which used up the memory.

--- a/internal/virtual/node.go
+++ b/internal/virtual/node.go
@@ -114,7 +114,7 @@
 // scheduleWake makes sure that the reducer's earliest timer fires.
 func (n *node) scheduleWake() {
 	at, ok := n.state.NextWake()
-	if !ok || !n.alive {
+	if !ok || !n.alive || n.paused {
 		return
 	}
 	at = max(at, n.world.now)
