--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -41,7 +41,9 @@
 
 // LogEntry is an accepted configuration change, or a fence.
 type LogEntry struct {
-	Revision Revision     `json:"revision"`
+	Revision Revision `json:"revision"`
+	// Change identifies the change. A fence that carries one refuses that change
+	// for good.
 	Change   ChangeID     `json:"change_id"`
 	Operator OperatorName `json:"operator"`
 	// Base is the revision that the operator based the change on; zero means
--- a/internal/reducer/config/cluster_test.go
+++ b/internal/reducer/config/cluster_test.go
@@ -19,8 +19,13 @@
 }
 
 func newCluster(seed uint64, nodes int) *cluster {
+	return newClusterWith(seed, nodes, func(store *virtual.KeyValue) virtual.Store { return store })
+}
+
+// newClusterWith returns a cluster whose nodes see the store through a wrapper.
+func newClusterWith(seed uint64, nodes int, wrap func(*virtual.KeyValue) virtual.Store) *cluster {
 	store := virtual.NewKeyValue(kv.DefaultLimits())
-	options := virtual.Options{Seed: seed, Store: store}
+	options := virtual.Options{Seed: seed, Store: wrap(store)}
 	for i := range nodes {
 		options.Hosts = append(options.Hosts, virtual.HostSpec{
 			Host:          model.HostID(fmt.Sprintf("host-%d", i+1)),
--- a/internal/reducer/config/follower.go
+++ b/internal/reducer/config/follower.go
@@ -32,15 +32,17 @@
 	watching bool
 	// waiting is true while a watch is open.
 	waiting bool
-	// from is the store's revision up to which the node has read; zero before the
-	// first read.
-	from uint64
+	// from is the store's revision up to which the node has read; it counts only
+	// while placed is true.
+	from   uint64
+	placed bool
 }
 
 // readDone notes up to where a read has seen the store.
 func (f *follower) readDone(revision uint64) {
 	if !f.waiting {
 		f.from = revision
+		f.placed = true
 	}
 }
 
@@ -48,7 +50,7 @@
 // store's history is read anew.
 func (f *follower) abort() {
 	f.waiting = false
-	f.from = 0
+	f.placed = false
 }
 
 // stepFollower looks at who watches and keeps a watch open.
@@ -68,7 +70,7 @@
 	if !f.watching || f.waiting {
 		return
 	}
-	if f.from == 0 {
+	if !f.placed {
 		s.requestReadOnce(ctx)
 		return
 	}
@@ -101,7 +103,7 @@
 		}
 		s.keepWatching(ctx)
 	default:
-		f.from = 0
+		f.placed = false
 		s.reader.putOff(ctx)
 		ctx.Count(metricWatchFailures, "")
 	}
--- a/internal/reducer/config/history.go
+++ b/internal/reducer/config/history.go
@@ -33,8 +33,8 @@
 	config *model.Config
 	// entries holds the latest applied entries, oldest first, without gaps.
 	entries []model.LogEntry
-	// changes holds the latest changes, oldest first, without fences and without
-	// void entries.
+	// changes holds the latest changes and refusals, oldest first, without void
+	// entries.
 	changes []changeRecord
 	// forgotten is the highest revision whose change may be missing in changes.
 	forgotten model.Revision
@@ -45,7 +45,7 @@
 	size int
 }
 
-// changeRecord remembers an accepted change.
+// changeRecord remembers an accepted or refused change.
 type changeRecord struct {
 	Revision model.Revision     `json:"revision"`
 	Change   model.ChangeID     `json:"change"`
@@ -54,6 +54,8 @@
 	// TextHash tells a change that was sent again from another one under the same
 	// identifier.
 	TextHash uint64 `json:"text_hash"`
+	// Refused marks a change that was refused for good.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // newHistory returns an empty log.
@@ -92,12 +94,8 @@
 func (h *history) apply(entry model.LogEntry) {
 	config := *h.config
 	next := &config
-	if !entry.IsFence() && !h.knows(entry.Change) {
-		if changed, failure := evaluate(h.config, entry.Text); failure == nil {
-			copied := *changed
-			next = &copied
-			h.remember(entry)
-		}
+	if !h.knows(entry.Change) {
+		next = h.effectOf(entry)
 	}
 	next.Revision = entry.Revision
 	h.config = next
@@ -107,6 +105,25 @@
 	}
 }
 
+// effectOf returns the configuration after an entry whose change is new, and
+// remembers the change. A fence with a change's identifier refuses the change.
+func (h *history) effectOf(entry model.LogEntry) *model.Config {
+	config := *h.config
+	if entry.IsFence() {
+		if entry.Change != "" {
+			h.remember(entry)
+		}
+		return &config
+	}
+	changed, failure := evaluate(h.config, entry.Text)
+	if failure != nil {
+		return &config
+	}
+	h.remember(entry)
+	config = *changed
+	return &config
+}
+
 // evaluate returns the configuration after a text's changes.
 func evaluate(config *model.Config, text string) (*model.Config, *model.Failure) {
 	script, failure := statement.Parse(text)
@@ -121,6 +138,7 @@
 	h.changes = append(h.changes, changeRecord{
 		Revision: entry.Revision, Change: entry.Change, Operator: entry.Operator, Accepted: entry.Accepted,
 		TextHash: xxhash.Sum64String(entry.Text),
+		Refused:  entry.IsFence(),
 	})
 	h.size += len(entry.Text)
 	if excess := len(h.changes) - rememberedChanges; excess > 0 {
@@ -146,11 +164,12 @@
 
 // changedSince returns the newest change after a revision.
 func (h *history) changedSince(revision model.Revision) (changeRecord, bool) {
-	if len(h.changes) == 0 {
-		return changeRecord{}, false
+	for _, c := range slices.Backward(h.changes) {
+		if !c.Refused {
+			return c, c.Revision > revision
+		}
 	}
-	newest := h.changes[len(h.changes)-1]
-	return newest, newest.Revision > revision
+	return changeRecord{}, false
 }
 
 // after returns up to limit applied entries after a revision, and false when
--- a/internal/reducer/config/proposal.go
+++ b/internal/reducer/config/proposal.go
@@ -36,7 +36,7 @@
 	stageCreating
 	// stageSettling reads the log to see what became of the write.
 	stageSettling
-	// stageFencing waits for the reply to the write of a fence.
+	// stageFencing waits for the reply to the write of a fence or a refusal.
 	stageFencing
 )
 
@@ -55,15 +55,23 @@
 	target model.Revision
 	// mayLand is true while a write of target may yet take effect.
 	mayLand bool
+	// shared is true when the operator knows the change's identifier and may have
+	// sent the change to another node, or may yet do so.
+	shared bool
+	// failure is why the change is being refused; nil while it is not.
+	failure *model.Failure
 	// read is the number of the reading that the stage waits for.
 	read uint64
 	// retryAt is when a rejected write is tried again; zero means not waiting.
 	retryAt model.Instant
 }
 
-// isUndecided reports whether a write of the proposal may be in the log, or may
-// still get there.
+// isUndecided reports whether the change may be in the log, or may still get
+// there. Only the log can tell so of a shared change.
 func (p *proposal) isUndecided() bool {
+	if p.shared {
+		return true
+	}
 	switch p.stage {
 	case stageCreating, stageSettling, stageFencing:
 		return true
@@ -85,9 +93,10 @@
 }
 
 // newProposal returns a queued proposal of a statement.
-func newProposal(now model.Instant, e event.Statement, script statement.Script) *proposal {
+func newProposal(now model.Instant, e event.Statement, script statement.Script, shared bool) *proposal {
 	return &proposal{
 		change:   e.Change,
+		shared:   shared,
 		operator: e.Operator,
 		text:     e.Text,
 		script:   script,
@@ -109,15 +118,29 @@
 	Failure *model.Failure
 }
 
+// status describes the recorded change.
+func (c changeRecord) status() ChangeStatus {
+	status := ChangeStatus{
+		Change: c.Change, Operator: c.Operator, Outcome: effect.Accepted, Revision: c.Revision, Accepted: c.Accepted,
+	}
+	if c.Refused {
+		status.Outcome = effect.NotAccepted
+		status.Failure = c.refusal()
+	}
+	return status
+}
+
+// refusal is the failure of a refused change.
+func (c changeRecord) refusal() *model.Failure {
+	return model.Failf(model.CodeConflict, "change %s was refused at revision %d: use another change id", c.Change, c.Revision)
+}
+
 // Change returns what is known of a change: from the log, or from the node's
 // own proposals. It returns false for a change that this node does not know;
 // that proves nothing, because another node may be about to write it.
 func (s *State) Change(id model.ChangeID) (ChangeStatus, bool) {
 	if record, ok := s.history.change(id); ok {
-		return ChangeStatus{
-			Change: id, Operator: record.Operator, Outcome: effect.Accepted,
-			Revision: record.Revision, Accepted: record.Accepted,
-		}, true
+		return record.status(), true
 	}
 	if p := s.proposer.find(id); p != nil {
 		return ChangeStatus{Change: id, Operator: p.operator, Outcome: effect.ChangeUnknown}, true
--- a/internal/reducer/config/propose.go
+++ b/internal/reducer/config/propose.go
@@ -47,8 +47,9 @@
 // propose queues a change. One that is already in the log, or under way here, is
 // the same change.
 func (s *State) propose(ctx *step.Context, e event.Statement, script statement.Script) {
-	if e.Change == "" {
-		e.Change = s.newChangeID(ctx, "change")
+	shared := e.Change != ""
+	if !shared {
+		e.Change = s.newChangeID(ctx)
 	}
 	if len(e.Text) > maxTextBytes {
 		failure := model.Failf(model.CodeTooLarge, "the text has more than %d bytes: send it in parts", maxTextBytes)
@@ -68,10 +69,10 @@
 		return
 	}
 	if len(s.proposer.queue) >= maxProposals {
-		replyNotAccepted(ctx, e, model.Failf(model.CodeOverloaded, "too many changes wait on this node"))
+		replyOverloaded(ctx, e, shared)
 		return
 	}
-	s.proposer.queue = append(s.proposer.queue, newProposal(ctx.Now, e, script))
+	s.proposer.queue = append(s.proposer.queue, newProposal(ctx.Now, e, script, shared))
 	s.startFirst(ctx)
 }
 
@@ -99,9 +100,9 @@
 }
 
 // newChangeID returns an identifier that no other node or life makes.
-func (s *State) newChangeID(ctx *step.Context, kind string) model.ChangeID {
+func (s *State) newChangeID(ctx *step.Context) model.ChangeID {
 	s.proposer.number++
-	return model.ChangeID(fmt.Sprintf("%s-%s-%s-%s", kind, ctx.Self.Host,
+	return model.ChangeID(fmt.Sprintf("change-%s-%s-%s", ctx.Self.Host,
 		strconv.FormatUint(uint64(ctx.Self.Incarnation), 36), strconv.FormatUint(s.proposer.number, 36)))
 }
 
@@ -155,27 +156,47 @@
 	if s.finishIfKnown(ctx, p) {
 		return
 	}
-	if len(p.calls) == 0 {
-		// The operator was told that the outcome is unknown. Now that nothing of the
-		// change can land any more, no new attempt is made behind the operator's back.
-		s.finish(ctx, p, notAccepted(p, model.Failf(model.CodeStoreUnavailable, "the store did not answer in time")))
-		return
+	if p.failure == nil && len(p.calls) == 0 {
+		// The operator was told that the outcome is unknown: no new attempt is made
+		// behind the operator's back.
+		p.failure = model.Failf(model.CodeStoreUnavailable, "the store did not answer in time")
+	}
+	if p.failure == nil {
+		_, p.failure = s.validate(p.script)
 	}
-	if _, failure := s.validate(p.script); failure != nil {
-		s.finish(ctx, p, notAccepted(p, failure))
+	if p.failure != nil {
+		s.refuse(ctx, p)
 		return
 	}
 	p.target = s.history.applied() + 1
 	s.write(ctx, p, forCreate, p.entry(ctx.Now))
 }
 
+// refuse ends a change that is not in the log. A shared change is refused in the
+// log, because another node may be about to write it: whatever comes after the
+// refusal is void.
+func (s *State) refuse(ctx *step.Context, p *proposal) {
+	if !p.shared {
+		s.finish(ctx, p, notAccepted(p, p.failure))
+		return
+	}
+	p.target = s.history.applied() + 1
+	s.write(ctx, p, forFence, model.LogEntry{
+		Revision: p.target, Change: p.change, Operator: p.operator, Accepted: ctx.Now,
+	})
+}
+
 // finishIfKnown ends a proposal whose change is in the log.
 func (s *State) finishIfKnown(ctx *step.Context, p *proposal) bool {
 	result, ok := s.resultOf(p.change, p.text)
-	if ok {
-		s.finish(ctx, p, result)
+	if !ok {
+		return false
+	}
+	if result.Outcome == effect.NotAccepted && p.failure != nil {
+		result.Failure = p.failure
 	}
-	return ok
+	s.finish(ctx, p, result)
+	return true
 }
 
 // resultOf returns the result of a change that is in the log. Another text under
@@ -185,6 +206,9 @@
 	if !ok {
 		return effect.StatementResult{}, false
 	}
+	if record.Refused {
+		return effect.StatementResult{Outcome: effect.NotAccepted, Change: id, Failure: record.refusal()}, true
+	}
 	if record.TextHash != xxhash.Sum64String(text) {
 		return effect.StatementResult{
 			Outcome: effect.NotAccepted, Change: id,
@@ -271,11 +295,8 @@
 		s.retryLater(ctx, p, stageReading)
 		return
 	}
-	fence := model.LogEntry{
-		Revision: p.target, Change: s.newChangeID(ctx, "fence"), Operator: p.operator, Accepted: ctx.Now,
-	}
 	ctx.Count(metricFences, "")
-	s.write(ctx, p, forFence, fence)
+	s.write(ctx, p, forFence, model.LogEntry{Revision: p.target, Operator: p.operator, Accepted: ctx.Now})
 }
 
 // stepFence reads the log after the write of a fence, whatever its reply: the
@@ -320,6 +341,7 @@
 			"the store did not answer in time; nothing was written")))
 		return
 	}
+	p.shared = true
 	p.reply(ctx, effect.StatementResult{
 		Outcome: effect.ChangeUnknown,
 		Change:  p.change,
@@ -351,12 +373,25 @@
 	p.calls = nil
 }
 
-// notAccepted is the result of a proposal that is not in the log and can no
-// longer get there.
+// notAccepted is the result of a change that is not in the log and can no longer
+// get there.
 func notAccepted(p *proposal, failure *model.Failure) effect.StatementResult {
 	return effect.StatementResult{Outcome: effect.NotAccepted, Change: p.change, Failure: failure}
 }
 
+// replyOverloaded refuses a change that finds the queue full. Of a shared one
+// another node may know more.
+func replyOverloaded(ctx *step.Context, e event.Statement, shared bool) {
+	failure := model.Failf(model.CodeOverloaded, "too many changes wait on this node")
+	if !shared {
+		replyNotAccepted(ctx, e, failure)
+		return
+	}
+	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
+		Outcome: effect.ChangeUnknown, Change: e.Change, Failure: failure,
+	}})
+}
+
 // replyNotAccepted refuses a statement that never became a proposal.
 func replyNotAccepted(ctx *step.Context, e event.Statement, failure *model.Failure) {
 	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -192,3 +192,7 @@
 
 // Config returns the configuration in force. It must not be changed.
 func (s *State) Config() *model.Config { return s.config.InForce() }
+
+// Log returns the accepted configuration entries that the node keeps, oldest
+// first.
+func (s *State) Log() []model.LogEntry { return s.config.History() }
--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -1,6 +1,7 @@
 package kv
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -109,6 +110,9 @@
 
 // TestSwapIsLinear checks that of all swaps from one revision exactly one wins.
 func TestSwapIsLinear(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		s := New(Limits{WritesPerSecond: 1e9, ReadsPerSecond: 1e9, Burst: time.Second, ValueBytes: 10, HistoryChanges: 10})
 		s.Apply(0, create("k", "0"))
