--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Percent is a ratio in hundredths.
 type Percent float64
@@ -16,6 +19,8 @@
 	Services    []Service    `json:"services,omitempty"`
 	Operators   []Operator   `json:"operators,omitempty"`
 	Convictions []Conviction `json:"convictions,omitempty"`
+	// Pardons lists the latest pardons, which lift the nodes' own convictions.
+	Pardons []Pardon `json:"pardons,omitempty"`
 	// LeavingHosts lists entry hosts that an operator takes out of service.
 	LeavingHosts []HostID `json:"leaving_hosts,omitempty"`
 }
@@ -39,7 +44,7 @@
 	// User limits the operator to one user's services; empty means all users.
 	User UserID `json:"user,omitempty"`
 	// KeyHash is the hash of the operator's key; the key itself is never kept.
-	KeyHash string `json:"key_hash"`
+	KeyHash string `json:"key_hash,omitempty"`
 }
 
 // Conviction refuses a request content that crashes upstreams.
@@ -50,9 +55,20 @@
 	Until Instant `json:"until,omitempty"`
 }
 
+// Pardon lifts what the nodes hold against a request content on evidence from
+// before its revision.
+type Pardon struct {
+	Service     ServiceName `json:"service"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Revision    Revision    `json:"revision"`
+}
+
 // Fingerprint is a hash of a request's service and content.
 type Fingerprint uint64
 
+// String returns the form in the operators' language, 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Service is a set of upstreams with one policy.
 type Service struct {
 	Name      ServiceName `json:"name"`
@@ -124,6 +140,17 @@
 	}
 }
 
+// WithoutKeys returns the configuration without the operators' key hashes, for
+// dumps and logs.
+func (c *Config) WithoutKeys() *Config {
+	shown := *c
+	shown.Operators = make([]Operator, len(c.Operators))
+	for i, operator := range c.Operators {
+		shown.Operators[i] = Operator{Name: operator.Name, User: operator.User}
+	}
+	return &shown
+}
+
 // Service returns the named service, or nil.
 func (c *Config) Service(name ServiceName) *Service {
 	for i := range c.Services {
--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -48,8 +48,9 @@
 
 // State holds the open searches and orders that this node coordinates.
 type State struct {
-	parts Parts
-	sink  OrderSink
+	parts    Parts
+	settings Settings
+	sink     OrderSink
 
 	// nextRequest and nextAttempt are the last numbers given out.
 	nextRequest uint64
@@ -63,8 +64,7 @@
 	config   *model.Config
 	services map[model.ServiceName]*serviceStats
 	replicas *replica.Table
-	// lostPeers holds the dispatchers whose stream ended a short while ago.
-	lostPeers map[model.HostID]model.Instant
+	routes   routes
 }
 
 // attemptRef finds an open attempt.
@@ -74,17 +74,21 @@
 	index int
 }
 
-// New returns a state without open requests.
-func New(parts Parts) *State {
+// New returns a state without open requests and with the default settings.
+func New(parts Parts) *State { return NewWith(parts, Settings{}) }
+
+// NewWith returns a state without open requests.
+func NewWith(parts Parts, settings Settings) *State {
 	return &State{
 		parts:     parts,
+		settings:  settings,
 		requests:  make(map[uint64]*request),
 		calls:     make(map[model.CallID]*request),
 		attempts:  make(map[uint64]attemptRef),
 		cancelled: newCancelledAttempts(),
 		services:  make(map[model.ServiceName]*serviceStats),
 		replicas:  replica.NewTable(),
-		lostPeers: make(map[model.HostID]model.Instant),
+		routes:    newRoutes(),
 	}
 }
 
@@ -146,9 +150,7 @@
 	for i := range r.attempts {
 		s.cancel(ctx, r, i)
 	}
-	for i := range r.services {
-		s.parts.Admission.Release(ctx, r.services[i].config)
-	}
+	s.parts.Admission.ReleaseAll(ctx, r.serviceConfigs())
 	delete(s.requests, r.number)
 	if !r.isOrder() {
 		delete(s.calls, r.call)
--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -21,6 +22,8 @@
 	// tolerance is the ratio to the lowest cost up to which replicas count as
 	// equally good.
 	tolerance = 1.5
+	// countTime is how long a dispatcher's count of free slots is believed.
+	countTime = 250 * time.Millisecond
 	// sameDomainWeight is the preference for the coordinator's own failure
 	// domain among equally good replicas.
 	sameDomainWeight = 2
@@ -125,8 +128,12 @@
 	}
 }
 
-// free estimates the free slots after what this coordinator sent itself.
-func (s *Stats) free(r *snapshot.Replica) int {
+// free estimates the free slots after what this coordinator sent itself. An old
+// count says little, and the learned limit is all that is left to go by.
+func (s *Stats) free(now model.Instant, r *snapshot.Replica) int {
+	if now.Sub(r.Updated) > countTime {
+		return r.Limit - s.outstanding
+	}
 	if s.counted != r.Updated {
 		return r.FreeSlots
 	}
@@ -196,11 +203,11 @@
 func (t *Table) rate(candidates []candidate, replicas []*snapshot.Replica, wish Wish) []candidate {
 	fastest := t.fastest(replicas)
 	for _, r := range replicas {
-		if !r.Usable() || contains(wish.Tried, r.ID) {
+		if !r.Usable() || slices.Contains(wish.Tried, r.ID) {
 			continue
 		}
 		s := t.of(r.ID)
-		free := s.free(r)
+		free := s.free(wish.Now, r)
 		if wish.FreeSlot && free <= 0 {
 			continue
 		}
@@ -246,11 +253,17 @@
 	return w
 }
 
-func contains(ids []model.UpstreamID, id model.UpstreamID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
+// ChooseRandom returns any usable replica that was not tried. It is the baseline
+// that Choose is measured against.
+func ChooseRandom(replicas []*snapshot.Replica, wish Wish, random *rand.Rand) *snapshot.Replica {
+	usable := make([]*snapshot.Replica, 0, len(replicas))
+	for _, r := range replicas {
+		if r.Usable() && !slices.Contains(wish.Tried, r.ID) {
+			usable = append(usable, r)
 		}
 	}
-	return false
+	if len(usable) == 0 {
+		return nil
+	}
+	return usable[random.IntN(len(usable))]
 }
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -64,7 +64,7 @@
 // HandlePeerLost settles the attempts that were with a lost dispatcher: whether
 // they ran is not known.
 func (s *State) HandlePeerLost(ctx *step.Context, host model.HostID) {
-	s.lostPeers[host] = ctx.Now
+	s.routes.lose(host, ctx.Now)
 	var numbers []uint64
 	for number, ref := range s.attempts {
 		if ref.request.attempts[ref.index].dispatcher == host {
@@ -91,9 +91,7 @@
 		return
 	}
 	s.endAttempt(r, index)
-	if !m.Status.NotRun() {
-		r.mayHaveRun = true
-	}
+	r.ledger.Settle(m.Status)
 	if m.Crash {
 		s.handleCrash(ctx, r, a, m)
 	}
@@ -111,7 +109,7 @@
 	if a.reroutes >= maxReroutes {
 		return false
 	}
-	host, ok := s.dispatcher(ctx, a.replica.ID, []model.HostID{a.dispatcher})
+	host, ok := s.dispatcher(ctx, a.replica.ID, a.dispatcher)
 	if !ok {
 		return false
 	}
@@ -239,7 +237,7 @@
 func (s *State) retry(ctx *step.Context, r *request, index int, failed model.FailureDomain) bool {
 	t := &r.tasks[index]
 	service := r.serviceOf(t)
-	chosen := s.parts.choose(ctx, s.replicas, t.replicas, replica.Wish{Avoid: failed, Tried: r.tried(index)})
+	chosen := s.choose(ctx, t.replicas, replica.Wish{Avoid: failed, Tried: r.tried(index)})
 	if chosen == nil {
 		return false
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -16,6 +16,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/show"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
@@ -26,7 +27,10 @@
 	// Self describes the node; its State is ignored.
 	Self       model.Member
 	Entry      entry.Settings
+	Dispatch   dispatch.Settings
+	Admission  admission.Settings
 	Membership membership.Settings
+	Query      query.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
 	// of the process.
 	PauseThreshold time.Duration
@@ -73,6 +77,7 @@
 	dispatch   *dispatch.State
 	query      *query.State
 	session    *session.State
+	show       *show.Answerer
 	lifecycle  lifecycle
 	// last is the time of the last event.
 	last model.Instant
@@ -85,33 +90,25 @@
 		membership: membership.New(settings.Membership, settings.Self),
 		config:     config.New(),
 		catalog:    snapshot.NewCatalog(),
-		admission:  admission.New(),
+		admission:  admission.NewWith(settings.Admission),
 		quarantine: quarantine.New(),
 		entry:      entry.New(settings.Entry),
 	}
 	s.config.SetHosts(s.membership)
-	s.dispatch = dispatch.New(s.entry)
-	s.query = query.New(query.Parts{
+	s.dispatch = dispatch.NewWith(s.entry, settings.Dispatch)
+	s.query = query.NewWith(query.Parts{
 		Catalog:    s.catalog,
 		Placement:  s.entry,
 		Admission:  s.admission,
 		Quarantine: s.quarantine,
-	})
+	}, settings.Query)
 	s.session = session.New(s.query)
+	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
+	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session})
 	return s
 }
 
-// Start returns the first effects of the node.
-func (s *State) Start(now model.Instant, random uint64) []effect.Effect {
-	s.last = now
-	ctx := s.context(now, random)
-	s.membership.Start(ctx)
-	s.config.Start(ctx)
-	s.startLifecycle(ctx)
-	return s.deliverOwn(ctx)
-}
-
 // NextWake returns when the next event.Wake is due, and false if no timer is
 // set.
 func (s *State) NextWake() (model.Instant, bool) { return s.timers.Next() }
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -5,7 +5,6 @@
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/show"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
 	"github.com/hawthorntack/hawthorntack/internal/statement"
@@ -14,6 +13,8 @@
 // stepEvent routes an event to the part that owns it.
 func (s *State) stepEvent(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
+	case event.Start:
+		s.stepStart(ctx)
 	case event.Wake:
 		s.stepWake(ctx)
 	case event.Entry:
@@ -41,6 +42,13 @@
 	}
 }
 
+// stepStart begins the node's life.
+func (s *State) stepStart(ctx *step.Context) {
+	s.membership.Start(ctx)
+	s.config.Start(ctx)
+	s.startLifecycle(ctx)
+}
+
 // stepUpstream routes what upstreams send to the dispatcher.
 func (s *State) stepUpstream(ctx *step.Context, e event.Event) {
 	switch e := e.(type) {
@@ -93,6 +101,7 @@
 	case timer.Config:
 		s.configChanged(ctx, s.config.HandleTimer(ctx, due.ID))
 	case timer.Membership:
+		s.membership.SetConvictions(s.quarantine.Hash())
 		s.viewChanged(ctx, s.membership.HandleTimer(ctx, due.ID))
 	case timer.Lifecycle:
 		s.handleLifecycleTimer(ctx)
@@ -111,6 +120,7 @@
 func (s *State) stepDigest(ctx *step.Context, from model.HostID, m message.Digest) {
 	changed := s.membership.HandleDigest(ctx, from, m)
 	s.config.HandleDigest(ctx, from, m)
+	s.quarantine.HandleDigest(ctx, from, m)
 	s.viewChanged(ctx, changed)
 }
 
@@ -120,7 +130,9 @@
 		return
 	}
 	ctx.Self = s.membership.Self()
+	s.query.HandleView()
 	s.dispatch.HandleConfig(ctx)
+	s.session.HandleView(ctx)
 }
 
 // configChanged lets the parts follow another configuration.
@@ -152,12 +164,13 @@
 		s.answerQuestions(ctx, e, script.Questions)
 		return
 	}
-	s.config.HandleStatement(ctx, e, script)
+	e.Text, script = statement.Resolve(e.Text, script, ctx.Now)
+	s.config.HandleStatement(ctx, e, statement.Permit(script, e.Operator))
 }
 
 // answerQuestions answers an operator's questions from the node's own state.
 func (s *State) answerQuestions(ctx *step.Context, e event.Statement, questions []statement.Question) {
-	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: show.Answer(ctx, e.Operator, questions)})
+	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: s.show.Answer(ctx, e.Operator, questions)})
 }
 
 // stepDump returns the state as JSON.
--- a/internal/statement/apply.go
+++ b/internal/statement/apply.go
@@ -57,8 +57,13 @@
 
 // failAt notes a problem.
 func (e *editor) failAt(position Position, rule Rule, format string, arguments ...any) {
+	e.add(&Problem{Position: position, Rule: rule, Detail: fmt.Sprintf(format, arguments...)})
+}
+
+// add notes a problem.
+func (e *editor) add(problem *Problem) {
 	if len(e.problems) < maxProblems {
-		e.problems = append(e.problems, &Problem{Position: position, Rule: rule, Detail: fmt.Sprintf(format, arguments...)})
+		e.problems = append(e.problems, problem)
 	}
 }
 
@@ -255,6 +260,30 @@
 	if found {
 		e.config.Convictions = slices.Delete(e.config.Convictions, i, i+1)
 	}
+	e.config.Pardons = addPardon(e.config.Pardons, model.Pardon{
+		Service:     conviction.Service,
+		Fingerprint: conviction.Fingerprint,
+		Revision:    e.config.Revision + 1,
+	})
+}
+
+// maxPardons bounds the pardons that the configuration remembers. The nodes'
+// own convictions lapse, so that an old pardon has nothing left to lift.
+const maxPardons = 100
+
+// addPardon returns the pardons with a new one, which replaces an earlier one of
+// the same content.
+func addPardon(pardons []model.Pardon, added model.Pardon) []model.Pardon {
+	kept := make([]model.Pardon, 0, len(pardons)+1)
+	for _, p := range pardons {
+		if p.Service != added.Service || p.Fingerprint != added.Fingerprint {
+			kept = append(kept, p)
+		}
+	}
+	if len(kept) >= maxPardons {
+		kept = kept[len(kept)-maxPardons+1:]
+	}
+	return append(kept, added)
 }
 
 // compareUser orders users by identifier.
--- a/internal/statement/grammar.go
+++ b/internal/statement/grammar.go
@@ -64,7 +64,7 @@
 type AlterUser struct {
 	Pos     lexer.Position
 	Name    Name          `parser:"@Word 'set'"`
-	Options []*UserOption `parser:"@@+"`
+	Options []*UserOption `parser:"@@ @@*"`
 }
 
 // DropUser removes a user that owns nothing.
@@ -95,7 +95,7 @@
 	Pos     lexer.Position
 	Pattern Pattern          `parser:"@Word"`
 	Where   *Where           `parser:"( 'where' @@ )?"`
-	Options []*ServiceOption `parser:"'set' @@+"`
+	Options []*ServiceOption `parser:"'set' @@ @@*"`
 }
 
 // DropService removes services with their upstreams.
@@ -135,29 +135,29 @@
 type NewUpstream struct {
 	Pos     lexer.Position
 	Name    Name              `parser:"@Word"`
-	Options []*UpstreamOption `parser:"@@+"`
+	Options []*UpstreamOption `parser:"@@ @@*"`
 }
 
 // CreateUpstream adds an upstream to a service.
 type CreateUpstream struct {
 	Pos     lexer.Position
 	Name    UpstreamName      `parser:"@Word"`
-	Options []*UpstreamOption `parser:"@@+"`
+	Options []*UpstreamOption `parser:"@@ @@*"`
 }
 
 // AlterUpstream changes the upstreams that a pattern and conditions match.
 type AlterUpstream struct {
 	Pos     lexer.Position
-	Pattern Pattern           `parser:"@Word"`
+	Pattern UpstreamPattern   `parser:"@Word"`
 	Where   *Where            `parser:"( 'where' @@ )?"`
-	Options []*UpstreamOption `parser:"'set' @@+"`
+	Options []*UpstreamOption `parser:"'set' @@ @@*"`
 }
 
 // DropUpstream removes upstreams.
 type DropUpstream struct {
 	Pos     lexer.Position
-	Pattern Pattern `parser:"@Word"`
-	Where   *Where  `parser:"( 'where' @@ )?"`
+	Pattern UpstreamPattern `parser:"@Word"`
+	Where   *Where          `parser:"( 'where' @@ )?"`
 }
 
 // UpstreamOption is one setting of an upstream; exactly one field is set.
@@ -174,9 +174,9 @@
 // Drain takes upstreams or an entry host out of service, or back in.
 type Drain struct {
 	Pos      lexer.Position
-	Upstream *Pattern `parser:"( 'upstream' @Word"`
-	Where    *Where   `parser:"( 'where' @@ )?"`
-	Host     *Name    `parser:"| 'host' @Word )"`
+	Upstream *UpstreamPattern `parser:"( 'upstream' @Word"`
+	Where    *Where           `parser:"( 'where' @@ )?"`
+	Host     *Name            `parser:"| 'host' @Word )"`
 	// Lift is true for undrain.
 	Lift bool
 }
@@ -204,6 +204,7 @@
 
 // Convict refuses a request content that crashes upstreams.
 type Convict struct {
+	Tokens      []lexer.Token
 	Pos         lexer.Position
 	Service     Name        `parser:"@Word"`
 	Fingerprint Fingerprint `parser:"'fingerprint' @Word"`
@@ -241,7 +242,7 @@
 // Condition compares a column with a value.
 type Condition struct {
 	Pos    lexer.Position
-	Column string   `parser:"@Word"`
+	Column Column   `parser:"@Word"`
 	Test   Operator `parser:"@( Comparison | 'like' )"`
 	Value  Value    `parser:"@( Word | Text )"`
 }
