--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -29,8 +29,14 @@
 	State         MemberState `json:"state"`
 	// Revision is the configuration in force on the member.
 	Revision Revision `json:"revision"`
+	// Weight is the host's share of callers and upstreams relative to other
+	// hosts; zero means DefaultHostWeight.
+	Weight int `json:"weight,omitempty"`
 }
 
+// DefaultHostWeight is the weight of a host that states none.
+const DefaultHostWeight = 1
+
 // HostEntry is one host in the platform's lagging host list.
 type HostEntry struct {
 	Host          HostID        `json:"host"`
@@ -41,7 +47,9 @@
 
 // LogEntry is an accepted configuration change, or a fence.
 type LogEntry struct {
-	Revision Revision     `json:"revision"`
+	Revision Revision `json:"revision"`
+	// Change identifies the change. A fence that carries one refuses that change
+	// for good.
 	Change   ChangeID     `json:"change_id"`
 	Operator OperatorName `json:"operator"`
 	// Base is the revision that the operator based the change on; zero means
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -33,9 +33,14 @@
 	Quarantine quarantine.Description `json:"quarantine"`
 }
 
-// dump encodes the state as JSON.
-func (s *State) dump(ctx *step.Context) []byte {
-	encoded, err := json.Marshal(Dump{
+// Describe returns the state dump as it stands at a time.
+func (s *State) Describe(now model.Instant) Dump {
+	return s.describe(s.context(now, 0))
+}
+
+// describe gathers the descriptions of the parts.
+func (s *State) describe(ctx *step.Context) Dump {
+	return Dump{
 		Self:           s.membership.Self(),
 		State:          string(s.lifecycle.state),
 		Members:        s.membership.Members(),
@@ -49,7 +54,12 @@
 		Quarantine:     s.quarantine.Describe(ctx.Now),
 		Dispatch:       s.dispatch.Describe(ctx.Now),
 		Admission:      s.admission.Describe(),
-	})
+	}
+}
+
+// dump encodes the state as JSON.
+func (s *State) dump(ctx *step.Context) []byte {
+	encoded, err := json.Marshal(s.describe(ctx))
 	if err != nil {
 		return []byte(`{"error":"the state could not be encoded"}`)
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -16,6 +16,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/show"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
@@ -30,6 +31,7 @@
 	Admission  admission.Settings
 	Membership membership.Settings
 	Session    session.Settings
+	Query      query.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
 	// of the process.
 	PauseThreshold time.Duration
@@ -77,9 +79,14 @@
 	dispatch   *dispatch.State
 	query      *query.State
 	session    *session.State
+	show       *show.Answerer
 	lifecycle  lifecycle
 	// last is the time of the last event.
 	last model.Instant
+	// ctx, source and out are used again by every step.
+	ctx    step.Context
+	source *rand.PCG
+	out    []effect.Effect
 }
 
 // New returns the state of a node that has just started.
@@ -92,37 +99,31 @@
 		admission:  admission.NewWith(settings.Admission),
 		quarantine: quarantine.New(),
 		entry:      entry.New(settings.Entry),
+		source:     rand.NewPCG(0, 0),
 	}
 	s.config.SetHosts(s.membership)
 	s.dispatch = dispatch.NewWith(s.entry, settings.Dispatch)
-	s.query = query.New(query.Parts{
+	s.query = query.NewWith(query.Parts{
 		Catalog:    s.catalog,
 		Placement:  s.entry,
 		Admission:  s.admission,
 		Quarantine: s.quarantine,
-	})
+	}, settings.Query)
 	s.session = session.New(s.query)
 	s.session.Configure(settings.Session)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
+	s.ctx = step.Context{Random: rand.New(s.source), View: s.membership, Timers: &s.timers}
+	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session})
 	return s
 }
 
-// Start returns the first effects of the node.
-func (s *State) Start(now model.Instant, random uint64) []effect.Effect {
-	s.last = now
-	ctx := s.context(now, random)
-	s.membership.Start(ctx)
-	s.config.Start(ctx)
-	s.startLifecycle(ctx)
-	return s.deliverOwn(ctx)
-}
-
 // NextWake returns when the next event.Wake is due, and false if no timer is
 // set.
 func (s *State) NextWake() (model.Instant, bool) { return s.timers.Next() }
 
-// Reduce applies one event and returns what the runtime is to do.
+// Reduce applies one event and returns what the runtime is to do. The returned
+// slice is valid until the next call.
 func (s *State) Reduce(envelope event.Envelope) []effect.Effect {
 	ctx := s.context(envelope.Now, envelope.Random)
 	s.noticePause(ctx)
@@ -131,32 +132,31 @@
 	return s.deliverOwn(ctx)
 }
 
-// context returns the surroundings of one step.
+// context returns the surroundings of one step, in memory that the next step
+// uses again.
 func (s *State) context(now model.Instant, random uint64) *step.Context {
-	return &step.Context{
-		Now:    now,
-		Random: rand.New(rand.NewPCG(random, uint64(now))),
-		Self:   s.membership.Self(),
-		Config: s.config.InForce(),
-		View:   s.membership,
-		Timers: &s.timers,
-	}
+	s.source.Seed(random, uint64(now))
+	s.ctx.Now = now
+	s.ctx.Self = s.membership.Self()
+	s.ctx.Config = s.config.InForce()
+	s.ctx.Effects = s.ctx.Effects[:0]
+	return &s.ctx
 }
 
 // deliverOwn delivers the messages that the node sent to itself and returns the
 // remaining effects.
 func (s *State) deliverOwn(ctx *step.Context) []effect.Effect {
 	self := s.settings.Self.Host
-	var out []effect.Effect
+	s.out = s.out[:0]
 	for i := 0; i < len(ctx.Effects); i++ {
 		send, ok := ctx.Effects[i].(effect.SendPeer)
 		if !ok || send.To != self {
-			out = append(out, ctx.Effects[i])
+			s.out = append(s.out, ctx.Effects[i])
 			continue
 		}
 		s.stepMessage(ctx, self, s.settings.Self.Incarnation, send.Message)
 	}
-	return out
+	return s.out
 }
 
 // stepMessage routes a message to the part that owns it.
@@ -198,3 +198,7 @@
 
 // Config returns the configuration in force. It must not be changed.
 func (s *State) Config() *model.Config { return s.config.InForce() }
+
+// Log returns the accepted configuration entries that the node keeps, oldest
+// first.
+func (s *State) Log() []model.LogEntry { return s.config.History() }
--- a/internal/virtual/node.go
+++ b/internal/virtual/node.go
@@ -1,6 +1,8 @@
 package virtual
 
 import (
+	"slices"
+
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -35,6 +37,12 @@
 	n.wake = 0
 	n.calls = make(map[model.CallID]func(effect.Effect))
 	n.connections = make(map[model.ConnectionID]*connection)
+	n.state = reducer.New(n.settings())
+	n.deliver(event.Start{})
+}
+
+// settings returns the settings of the node's present life.
+func (n *node) settings() reducer.Settings {
 	settings := reducer.DefaultSettings(model.Member{
 		Host:          n.spec.Host,
 		Incarnation:   n.incarnation,
@@ -45,9 +53,7 @@
 	if n.world.options.Tune != nil {
 		n.world.options.Tune(&settings)
 	}
-	n.state = reducer.New(settings)
-	n.execute(n.state.Start(n.world.now, n.world.Random.Uint64()))
-	n.scheduleWake()
+	return settings
 }
 
 // newCall opens a call.
@@ -78,7 +84,9 @@
 		return
 	}
 	envelope := event.Envelope{Now: n.world.now, Random: n.world.Random.Uint64(), Event: e}
-	effects := n.state.Reduce(envelope)
+	// A reply may lead its receiver to send the next request at once, into this
+	// same reducer: the effects must outlive that step.
+	effects := slices.Clone(n.state.Reduce(envelope))
 	if n.world.options.Observe != nil {
 		n.world.options.Observe(n.spec.Host, envelope, effects)
 	}
