Dispatch: a copy of an order neither runs after a refusal nor in a later life

Cause: seeded histories found orders that ran twice or after "not run": a copied Dispatch message arrived after the dispatcher had refused the first one, or after the dispatcher had restarted. Change: the dispatcher remembers once-only work that it refused; Dispatch and SessionHandover name the life of the node that is meant, and a later life drops them.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -35,6 +35,9 @@
 	Hedge bool
 	// Repeatable is false for work that must run at most once.
 	Repeatable bool
+	// Life is the life of the dispatcher that is meant, zero if it is not known. A
+	// copy that reaches a later life is dropped: the earlier one may have run it.
+	Life model.Incarnation
 }
 
 // Kind is the kind of work a sub-request carries.
@@ -161,6 +164,9 @@
 	// Attempt numbers the handovers that the stopping home has begun; a later one
 	// replaces an earlier one whole.
 	Attempt uint64
+	// Life is the life of the successor that is meant: a later one does not know
+	// what the earlier one started.
+	Life model.Incarnation
 	// Homes lists the homes whose sessions are handed over: the stopping one, and
 	// those that it took over itself. Every part carries all of them.
 	Homes []HandedHome
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -113,6 +113,7 @@
 		Isolate:      m.GetIsolate(),
 		Hedge:        m.GetHedge(),
 		Repeatable:   m.GetRepeatable(),
+		Life:         model.Incarnation(m.GetLife()),
 	}
 }
 
@@ -198,6 +199,7 @@
 		Part:        m.GetPart(),
 		Parts:       m.GetParts(),
 		Attempt:     m.GetAttempt(),
+		Life:        model.Incarnation(m.GetLife()),
 	}
 	for _, h := range m.GetHomes() {
 		out.Homes = append(out.Homes, message.HandedHome{
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -114,6 +114,7 @@
 		Isolate:           m.Isolate,
 		Hedge:             m.Hedge,
 		Repeatable:        m.Repeatable,
+		Life:              uint64(m.Life),
 	}
 }
 
@@ -195,6 +196,7 @@
 	out := &peerpb.SessionHandover{
 		From: string(m.From), Incarnation: uint64(m.Incarnation), Part: m.Part, Parts: m.Parts,
 		Attempt: m.Attempt,
+		Life:    uint64(m.Life),
 	}
 	for _, h := range m.Homes {
 		out.Homes = append(out.Homes, &peerpb.HandedHome{
--- a/internal/reducer/dispatch/dispatch.go
+++ b/internal/reducer/dispatch/dispatch.go
@@ -52,6 +52,9 @@
 	jobs        map[model.AttemptID]*job
 	// sentOnce remembers the sent work that must run at most once.
 	sentOnce recentAttempts
+	// refusedOnce remembers such work of which it was said that it did not run: a
+	// copy that arrives later must not run.
+	refusedOnce recentAttempts
 	// members lists the hosts that know this node's reports.
 	members []model.HostID
 	// listed holds the upstreams that the platform says are leaving.
@@ -75,6 +78,7 @@
 		connections: make(map[model.ConnectionID]*connection),
 		jobs:        make(map[model.AttemptID]*job),
 		sentOnce:    newRecentAttempts(),
+		refusedOnce: newRecentAttempts(),
 		listed:      make(map[model.UpstreamID]bool),
 		configured:  make(map[model.UpstreamID]bool),
 	}
@@ -84,18 +88,30 @@
 // sub-request that is already queued or sent is not taken on again, and one that
 // must run at most once not even after its end.
 func (s *State) HandleDispatch(ctx *step.Context, from model.HostID, m message.Dispatch) {
+	if m.Life != 0 && m.Life != ctx.Self.Incarnation {
+		return
+	}
 	if _, open := s.jobs[m.Attempt]; open || s.sentOnce.has(m.Attempt) {
 		return
 	}
 	j := s.newJob(ctx, from, m)
 	l := s.byUpstream[m.Upstream]
-	if l == nil || !l.serves(ctx.Now) {
-		j.reply(ctx, notOwner())
+	if l == nil || !l.serves(ctx.Now) || s.refusedOnce.has(m.Attempt) {
+		s.reply(ctx, j, notOwner())
 		return
 	}
 	s.accept(ctx, l, j)
 }
 
+// reply sends a job's result, and remembers that it did not run if that was said
+// of work that must run at most once.
+func (s *State) reply(ctx *step.Context, j *job, result message.DispatchResult) {
+	if !j.request.Repeatable && result.Status.NotRun() {
+		s.refusedOnce.add(j.request.Attempt)
+	}
+	j.reply(ctx, result)
+}
+
 // HandleCancel takes a sub-request back.
 func (s *State) HandleCancel(ctx *step.Context, from model.HostID, m message.Cancel) {
 	if j := s.jobs[m.Attempt]; j != nil && j.from == from {
--- a/internal/reducer/dispatch/schedule.go
+++ b/internal/reducer/dispatch/schedule.go
@@ -13,7 +13,7 @@
 	if refusal := s.refusalOf(ctx, l, j); refusal != nil {
 		ctx.Count(metricRefused, string(refusal.Reason))
 		l.fill(ctx, refusal)
-		j.reply(ctx, *refusal)
+		s.reply(ctx, j, *refusal)
 		return
 	}
 	s.jobs[j.request.Attempt] = j
@@ -72,7 +72,7 @@
 	}
 	result.Alone = l.ranAlone(j)
 	l.fill(ctx, &result)
-	j.reply(ctx, result)
+	s.reply(ctx, j, result)
 }
 
 // ranAlone reports whether nothing else can have run on the upstream beside a
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -133,6 +133,9 @@
 		Hedge:        a.kind == hedgeAttempt,
 		Repeatable:   service.config.Policy.Repeatable,
 	}
+	if member, known := ctx.View.Member(a.dispatcher); known {
+		dispatch.Life = member.Incarnation
+	}
 	if !r.isOrder() {
 		dispatch.Version = r.pin.Version()
 		dispatch.Shards = r.pin.Target(a.task).Shards()
--- a/internal/reducer/session/adopt.go
+++ b/internal/reducer/session/adopt.go
@@ -27,7 +27,7 @@
 // until the home ends the handover. A node that is handing over itself takes
 // none.
 func (s *State) HandleHandover(ctx *step.Context, from model.HostID, m message.SessionHandover) {
-	if s.handover != nil || m.Part == 0 || m.Part > m.Parts || m.Parts > maxParts {
+	if s.handover != nil || m.Life != ctx.Self.Incarnation || m.Part == 0 || m.Part > m.Parts || m.Parts > maxParts {
 		return
 	}
 	s.startSweeping(ctx)
--- a/internal/reducer/session/handover.go
+++ b/internal/reducer/session/handover.go
@@ -124,7 +124,7 @@
 	o.phase = sending
 	o.attempt++
 	o.to = to
-	o.parts = s.buildParts(ctx, o.attempt)
+	o.parts = s.buildParts(ctx, o.attempt, to.Incarnation)
 	o.acked = make([]bool, len(o.parts))
 	s.sendParts(ctx)
 }
--- a/internal/reducer/session/parts.go
+++ b/internal/reducer/session/parts.go
@@ -18,12 +18,13 @@
 
 // buildParts writes all sessions down in parts. There is at least one part, for
 // the homes.
-func (s *State) buildParts(ctx *step.Context, attempt uint64) []message.SessionHandover {
+func (s *State) buildParts(ctx *step.Context, attempt uint64, life model.Incarnation) []message.SessionHandover {
 	self := selfOf(ctx)
 	b := &partBuilder{template: message.SessionHandover{
 		From:        self.host,
 		Incarnation: self.incarnation,
 		Attempt:     attempt,
+		Life:        life,
 		Homes:       s.handedHomes(),
 	}}
 	b.begin()
