--- a/cmd/hawthorntack/node.go
+++ b/cmd/hawthorntack/node.go
@@ -15,6 +15,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/platform"
 	"github.com/hawthorntack/hawthorntack/internal/reducer"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 )
 
 // nodeCommand runs one node.
@@ -43,6 +44,7 @@
 	Dispatchers int           `long:"dispatchers" env:"HAWTHORNTACK_DISPATCHERS" default:"1" description:"Nodes that hold connections to one upstream"`
 	SubsetSize  int           `long:"subset-size" env:"HAWTHORNTACK_SUBSET_SIZE" default:"4" description:"Nodes that serve the callers of one service"`
 	EntryTTL    time.Duration `long:"entry-ttl" env:"HAWTHORNTACK_ENTRY_TTL" default:"5s" description:"How long a caller may keep an entry answer"`
+	Policy      string        `long:"policy" env:"HAWTHORNTACK_POLICY" default:"full" choice:"full" choice:"plain" description:"Policies of routing and queueing; plain is the baseline of measurements: a random replica, first in first out, no early refusal"`
 	StopGrace   time.Duration `long:"stop-grace" env:"HAWTHORNTACK_STOP_GRACE" default:"30s" description:"Longest time of a planned stop"`
 }
 
@@ -66,9 +68,20 @@
 		settings.Entry.SubsetSize = s.SubsetSize
 		settings.Entry.TTL = s.EntryTTL
 		settings.StopGrace = s.StopGrace
+		if s.Policy == "plain" {
+			usePlainPolicies(settings)
+		}
 	}, nil
 }
 
+// usePlainPolicies sets the baseline that the policies are measured against.
+// Hedges are off in the baseline's configuration.
+func usePlainPolicies(settings *reducer.Settings) {
+	settings.Query.RandomReplica = true
+	settings.Dispatch.Order = dispatch.ArrivalOrder
+	settings.Dispatch.NoEarlyRefusal = true
+}
+
 // addNode adds the node subcommand.
 func addNode(parser *flags.Parser, std streams) error {
 	_, err := parser.AddCommand("node", "Run a node", "Runs one node on this host until SIGTERM. SIGUSR1 writes the state dump into the log.", &nodeCommand{std: std})
--- /dev/null
+++ b/examples/load-run.sh
@@ -0,0 +1,115 @@
+#!/usr/bin/env bash
+# Runs one of today's deployments over real sockets, each node in a process of
+# its own: steady state, a straggler, an upstream lost, the index rolling, a node
+# killed. The plain baseline comes first, then the full policies, against the
+# same stand-ins and seeds.
+#
+# Usage: examples/load-run.sh aranguiz|hinokuni [SECONDS-A-PHASE] [SEED]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+deployment=${1:?aranguiz or hinokuni}
+seconds=${2:-10}
+seed=${3:-1}
+case "$deployment" in
+aranguiz) search='counter-*' rate=150 orders=print-room order_rate=100 domain=santiago lost=counter-1/u1 slow=counter-2/u2 ;;
+hinokuni) search='vacancy-finder-*' rate=200 orders=inquiry-book order_rate=100 domain=kyushu lost=vacancy-finder-1/u1 slow=vacancy-finder-2/u2 ;;
+*) echo 'the deployment is aranguiz or hinokuni' >&2; exit 2 ;;
+esac
+
+work=$(mktemp -d)
+go build -o "$work/hawthorntack" ./cmd/hawthorntack
+command="$work/hawthorntack"
+standins=
+declare -A nodes
+
+stop_all() {
+  for pid in "${nodes[@]}" $standins; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${nodes[@]}" $standins; do
+    while kill -0 "$pid" 2>/dev/null; do sleep 0.1; done
+  done
+}
+trap 'stop_all; rm -rf "$work"' EXIT
+
+wait_for() { # URL
+  for _ in $(seq 300); do
+    if curl -sf -o /dev/null "$1"; then return; fi
+    sleep 0.1
+  done
+  echo "$1 does not answer" >&2
+  exit 1
+}
+
+start_node() { # NUMBER POLICY
+  "$command" node --host "host-$1" --failure-domain "$domain-$((($1 - 1) % 3 + 1))" \
+    --platform http://127.0.0.1:17400 --policy "$2" --log-level warning --seed "$((seed + $1))" \
+    --listen-caller "127.0.0.1:1700$1" --listen-peer "127.0.0.1:1710$1" --listen-admin "127.0.0.1:1720$1" \
+    2>>"$work/node-$1.log" &
+  nodes[$1]=$!
+  disown "$!"
+}
+
+wait_whole() { # waits until every node knows every upstream
+  local total=$1
+  for n in 1 2 3 4; do
+    for _ in $(seq 300); do
+      if "$command" dump --admin "127.0.0.1:1720$n" 2>/dev/null | grep -q "\"known_upstreams\": $total,"; then break; fi
+      sleep 0.1
+    done
+  done
+}
+
+phase() { # NAME SERVICE RATE [load flags]: prints one row
+  local name=$1 service=$2 at=$3
+  shift 3
+  "$command" load --entry 127.0.0.1:17001 --entry 127.0.0.1:17002 --entry 127.0.0.1:17003 --entry 127.0.0.1:17004 \
+    --service "$service" --rate "$at" --duration "${seconds}s" --seed "$seed" -o json "$@" >"$work/report.json"
+  read_field() { sed -n "s/^ *\"$1\": \([0-9.e+-]*\),\{0,1\}$/\1/p" "$work/report.json"; }
+  printf '| %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n' "$policy" "$name" \
+    "$(read_field requests)" "$(read_field p50_ms)" "$(read_field p95_ms)" "$(read_field p99_ms)" "$(read_field p99_9_ms)" \
+    "$(read_field coverage)" "$(read_field extra_work)" "$(read_field partial)" "$(read_field not_run)" \
+    "$(read_field unknown)" "$(read_field failed)" "$(($(read_field foreign) + $(read_field mixed)))"
+}
+
+upstream() { # SERVICE/UPSTREAM ACTION
+  curl -sf -X POST -o /dev/null "http://127.0.0.1:17400/v1/upstreams/$1/$2"
+}
+
+echo '| policy | phase | requests | p50 ms | p95 ms | p99 ms | p99.9 ms | coverage | extra work | partial | not run | unknown | failed | foreign or mixed |'
+echo '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'
+for policy in plain full; do
+  "$command" demo --platform-only --deployment "$deployment" --listen-platform 127.0.0.1:17400 --seed "$seed" \
+    --known-host "host-1,$domain-1,127.0.0.1:17101" --known-host "host-2,$domain-2,127.0.0.1:17102" \
+    --known-host "host-3,$domain-3,127.0.0.1:17103" --known-host "host-4,$domain-1,127.0.0.1:17104" >"$work/standins.json" &
+  standins=$!
+  disown "$standins"
+  wait_for http://127.0.0.1:17400/v1/hosts
+  sed 's/.*"configuration":"\(.*\)"}/\1/; s/\\n/\n/g; s/\\"/"/g' "$work/standins.json" >"$work/configuration.ht"
+  if [ "$policy" = plain ]; then
+    sed -i 's/repeat yes hedge budget 5%/repeat yes hedge budget 0%/' "$work/configuration.ht"
+  fi
+  for n in 1 2 3 4; do start_node "$n" "$policy"; done
+  for n in 1 2 3 4; do wait_for "http://127.0.0.1:1720$n/readyz"; done
+  "$command" ctl --admin 127.0.0.1:17201 --file "$work/configuration.ht" >/dev/null
+  wait_whole "$(grep -c '^ *upstream ' "$work/configuration.ht")"
+
+  phase 'steady, search' "$search" "$rate"
+  phase 'steady, orders' "$orders" "$order_rate" --kind order --resends 2
+  upstream "$slow" 'slow?factor=20'
+  phase 'one replica of 30 is 20x slow' "$search" "$rate"
+  upstream "$slow" 'slow?factor=1'
+  (sleep $((seconds / 3)); upstream "$lost" "stop?for_ms=$((seconds * 1000 / 3))") &
+  phase 'an upstream lost for a third' "$search" "$rate"
+  curl -sf -X POST -o /dev/null "http://127.0.0.1:17400/v1/roll?over_ms=$((seconds * 500))"
+  phase 'the index rolls' "$search" "$rate"
+  (sleep $((seconds / 3)); kill -KILL "${nodes[4]}") &
+  phase 'a node killed, search' "$search" "$rate"
+  start_node 4 "$policy"
+  wait_for http://127.0.0.1:17204/readyz
+  (sleep $((seconds / 3)); kill -KILL "${nodes[4]}") &
+  phase 'a node killed, orders' "$orders" "$order_rate" --kind order --resends 2
+  echo "- $policy: stand-ins counted $(curl -sf http://127.0.0.1:17400/v1/upstreams)" >>"$work/notes"
+  stop_all
+  nodes=()
+done
+echo
+cat "$work/notes"
--- a/internal/demo/standins.go
+++ b/internal/demo/standins.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -34,12 +35,15 @@
 	server    *http.Server
 	address   string
 	hosts     []model.HostEntry
+
+	mu      sync.Mutex
+	version model.Version
 }
 
 // StartStandIns starts the platform at an address and the upstreams at free
 // ports.
 func StartStandIns(d deployment.Deployment, platformAddress string, hostListLag time.Duration, seed uint64) (*StandIns, error) {
-	s := &StandIns{Platform: platform.New(platform.Settings{Limits: kv.DefaultLimits(), HostListDelay: hostListLag})}
+	s := &StandIns{version: deployment.FirstVersion, Platform: platform.New(platform.Settings{Limits: kv.DefaultLimits(), HostListDelay: hostListLag})}
 	if err := s.serve(platformAddress); err != nil {
 		return nil, err
 	}
@@ -82,6 +86,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	s.Platform.Register(e)
+	s.registerControl(e)
 	s.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() {
 		// Serve always ends with an error; Close is the only expected one.
@@ -108,22 +113,28 @@
 	}
 }
 
-// RollVersions gives every upstream a new version of the index every interval,
-// one upstream after another, and takes the oldest of three away, until the
-// context ends.
+// RollVersions rolls the index to its next version again and again, each time
+// over an interval, until the context ends.
 func (s *StandIns) RollVersions(ctx context.Context, interval time.Duration) {
-	version := deployment.FirstVersion
-	for {
-		version++
-		for i, id := range s.upstreamIDs() {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(interval / time.Duration(len(s.Upstreams))):
-			}
-			versions := []model.Version{version - 1, version}
-			s.Upstreams[i].SetHoldings(deployment.Holdings(id.Service(), versions...))
+	for ctx.Err() == nil {
+		s.Roll(ctx, interval)
+	}
+}
+
+// Roll gives the upstreams the next version of the index, one after another over
+// an interval. Each keeps the version before, and drops the one before that.
+func (s *StandIns) Roll(ctx context.Context, interval time.Duration) {
+	s.mu.Lock()
+	s.version++
+	version := s.version
+	s.mu.Unlock()
+	for i, id := range s.upstreamIDs() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval / time.Duration(len(s.Upstreams))):
 		}
+		s.Upstreams[i].SetHoldings(deployment.Holdings(id.Service(), version-1, version))
 	}
 }
 
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -61,6 +60,7 @@
 	shed        uint64
 	connections int
 	peak        int
+	refused     int
 	holdings    []model.Holding
 	draining    bool
 	crossNext   int
@@ -87,6 +87,8 @@
 	Shed uint64
 	// PeakConnections is the most connections at one time.
 	PeakConnections int
+	// RefusedConnections counts the connections over the limit.
+	RefusedConnections int
 }
 
 // Start listens on an address, "127.0.0.1:0" for any port, and serves.
@@ -125,7 +127,7 @@
 func (u *Upstream) Statistics() Statistics {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return Statistics{Attempts: u.attempts, Shed: u.shed, PeakConnections: u.peak}
+	return Statistics{Attempts: u.attempts, Shed: u.shed, PeakConnections: u.peak, RefusedConnections: u.refused}
 }
 
 // Runs returns the orders that ran so far.
@@ -295,8 +297,8 @@
 	defer u.release(attempt)
 	begin()
 	if u.options.Crashes && strings.Contains(body, CrashMarker) {
-		u.crash()
-		return errors.New("crashed")
+		u.Stop(u.options.DownTime)
+		return echo.NewHTTPError(http.StatusInternalServerError, "crashed")
 	}
 	select {
 	case <-time.After(u.serviceTime()):
@@ -375,15 +377,15 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-// crash ends all connections and comes back at the same address after the down
-// time.
-func (u *Upstream) crash() {
+// Stop ends all connections at once, as a crash would, and comes back at the same
+// address after the down time.
+func (u *Upstream) Stop(downTime time.Duration) {
 	u.mu.Lock()
 	server := u.server
 	address := u.address
 	u.mu.Unlock()
 	server.Close()
-	time.AfterFunc(u.options.DownTime, func() {
+	time.AfterFunc(downTime, func() {
 		u.mu.Lock()
 		closed := u.closed
 		u.mu.Unlock()
--- a/internal/standin/backend/listener.go
+++ b/internal/standin/backend/listener.go
@@ -34,6 +34,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.options.Connections > 0 && u.connections >= u.options.Connections {
+		u.refused++
 		return false
 	}
 	u.connections++
