Overload: consistent priorities and withdrawn searches

Change: all sub-requests of one request carry one random priority; a full queue refuses the lowest priority, so that overloaded upstreams drop the same requests whole; a search whose least coverage is out of reach is withdrawn at once, and answered when the results tell whether anything ran (20 ms at most).

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -35,6 +35,9 @@
 	Hedge bool
 	// Repeatable is false for work that must run at most once.
 	Repeatable bool
+	// Priority is the same for all sub-requests of one request, so that
+	// overloaded dispatchers drop the same requests whole. The highest is kept.
+	Priority uint32
 }
 
 // Kind is the kind of work a sub-request carries.
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -113,6 +113,7 @@
 		Isolate:      m.GetIsolate(),
 		Hedge:        m.GetHedge(),
 		Repeatable:   m.GetRepeatable(),
+		Priority:     m.GetPriority(),
 	}
 }
 
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -114,6 +114,7 @@
 		Isolate:           m.Isolate,
 		Hedge:             m.Hedge,
 		Repeatable:        m.Repeatable,
+		Priority:          m.Priority,
 	}
 }
 
--- a/internal/reducer/dispatch/connection.go
+++ b/internal/reducer/dispatch/connection.go
@@ -200,7 +200,7 @@
 	l.removeInFlight(j)
 	j.connection = nil
 	j.alone = false
-	l.queue.Push(&j.waiting)
+	l.push(j)
 	if !l.serves(ctx.Now) {
 		s.refuseQueued(ctx, l, notOwner())
 	}
--- a/internal/reducer/dispatch/harness_test.go
+++ b/internal/reducer/dispatch/harness_test.go
@@ -230,3 +230,8 @@
 		return isReport && e.To == host
 	})
 }
+
+// sendOf returns the effect by which a job in flight was sent.
+func sendOf(j *job) effect.SendUpstream {
+	return effect.SendUpstream{Connection: j.connection.id, Attempt: j.request.Attempt}
+}
--- a/internal/reducer/dispatch/job.go
+++ b/internal/reducer/dispatch/job.go
@@ -36,7 +36,7 @@
 		from:     from,
 		deadline: ctx.Now.Add(time.Duration(m.TimeLeft)),
 	}
-	j.waiting = queue.Entry[*job]{Deadline: j.deadline, Expiry: j.deadline, Value: j}
+	j.waiting = queue.Entry[*job]{Deadline: j.deadline, Expiry: j.deadline, Priority: m.Priority, Value: j}
 	if m.MaxQueueWait > 0 && !s.settings.NoEarlyRefusal {
 		j.waiting.Expiry = min(j.deadline, ctx.Now.Add(time.Duration(m.MaxQueueWait)))
 	}
@@ -46,6 +46,12 @@
 	return j
 }
 
+// latestStart returns the last time at which the job may be sent if it takes the
+// given service time.
+func (j *job) latestStart(service time.Duration) model.Instant {
+	return min(j.waiting.Expiry, j.deadline.Add(-service))
+}
+
 // isQueued reports whether the job waits for a slot.
 func (j *job) isQueued() bool { return j.waiting.Queued() }
 
--- a/internal/reducer/dispatch/lane.go
+++ b/internal/reducer/dispatch/lane.go
@@ -32,6 +32,9 @@
 	connections []*connection
 	inFlight    []*job
 	queue       *queue.Queue[*job]
+	// latest is the last time at which a job of the queue may start; it does not
+	// follow jobs that leave the queue until it is empty.
+	latest model.Instant
 	// queueTimer is when the queue's timer is due.
 	queueTimer model.Instant
 	// cancels lists sent jobs that the upstream should stop.
--- a/internal/reducer/dispatch/queue/queue.go
+++ b/internal/reducer/dispatch/queue/queue.go
@@ -1,6 +1,6 @@
 // Package queue holds work that waits for a slot, earliest deadline first. Any
-// entry can be taken back while it waits, and the entry whose wait ends first is
-// found without a search.
+// entry can be taken back while it waits; the entry whose wait ends first and the
+// one with the lowest priority are found without a search.
 package queue
 
 import (
@@ -15,10 +15,12 @@
 	Deadline model.Instant
 	// Expiry is when the wait ends.
 	Expiry model.Instant
-	Value  T
+	// Priority decides which entry makes room for another: the lowest.
+	Priority uint32
+	Value    T
 	// order keeps entries of one time in the order of arrival.
 	order uint64
-	// positions are the indexes in the two heaps.
+	// positions are the indexes in the heaps.
 	positions [keys]int
 	queued    bool
 }
@@ -32,15 +34,20 @@
 const (
 	byDeadline key = iota
 	byExpiry
+	byPriority
 	keys
 )
 
-// at returns the time that a heap orders the entry by.
+// at returns what a heap orders the entry by.
 func (e *Entry[T]) at(k key) model.Instant {
-	if k == byExpiry {
+	switch k {
+	case byExpiry:
 		return e.Expiry
+	case byPriority:
+		return model.Instant(e.Priority)
+	default:
+		return e.Deadline
 	}
-	return e.Deadline
 }
 
 // Queue orders entries by deadline. Use New.
@@ -77,6 +84,9 @@
 // FirstExpiry returns the entry with the earliest expiry, or nil.
 func (q *Queue[T]) FirstExpiry() *Entry[T] { return q.heaps[byExpiry].first() }
 
+// Lowest returns the entry with the lowest priority, or nil.
+func (q *Queue[T]) Lowest() *Entry[T] { return q.heaps[byPriority].first() }
+
 // Remove takes an entry out. It reports false if the entry is not queued.
 func (q *Queue[T]) Remove(e *Entry[T]) bool {
 	if !e.queued {
--- a/internal/reducer/dispatch/queue/queue_test.go
+++ b/internal/reducer/dispatch/queue/queue_test.go
@@ -25,6 +25,7 @@
 				e := &Entry[int]{
 					Deadline: model.Instant(rapid.IntRange(0, 20).Draw(t, "deadline")),
 					Expiry:   model.Instant(rapid.IntRange(0, 20).Draw(t, "expiry")),
+					Priority: rapid.Uint32Range(0, 20).Draw(t, "priority"),
 				}
 				q.Push(e)
 				list = append(list, e)
@@ -39,7 +40,7 @@
 	if q.Len() != len(list) {
 		t.Fatalf("%d entries, want %d", q.Len(), len(list))
 	}
-	var first, expires *Entry[int]
+	var first, expires, lowest *Entry[int]
 	ahead := 0
 	const probe = model.Instant(10)
 	for _, e := range list {
@@ -49,6 +50,9 @@
 		if expires == nil || e.Expiry < expires.Expiry {
 			expires = e
 		}
+		if lowest == nil || e.Priority < lowest.Priority {
+			lowest = e
+		}
 		if e.Deadline <= probe {
 			ahead++
 		}
@@ -59,6 +63,9 @@
 	if expires != nil && q.FirstExpiry().Expiry != expires.Expiry {
 		t.Fatalf("first expiry %d, want %d", q.FirstExpiry().Expiry, expires.Expiry)
 	}
+	if lowest != nil && q.Lowest().Priority != lowest.Priority {
+		t.Fatalf("lowest priority %d, want %d", q.Lowest().Priority, lowest.Priority)
+	}
 	if got := q.Ahead(probe); got != ahead {
 		t.Fatalf("%d entries ahead, want %d", got, ahead)
 	}
--- a/internal/reducer/dispatch/schedule.go
+++ b/internal/reducer/dispatch/schedule.go
@@ -10,48 +10,82 @@
 // accept sends a job, queues it, or refuses it.
 func (s *State) accept(ctx *step.Context, l *lane, j *job) {
 	j.lane = l
-	if refusal := s.refusalOf(ctx, l, j); refusal != nil {
+	refusal := s.refusalOf(ctx, l, j)
+	if refusal == nil {
+		refusal = s.makeRoom(ctx, l, j)
+	}
+	if refusal != nil {
 		ctx.Count(metricRefused, string(refusal.Reason))
 		l.fill(ctx, refusal)
 		j.reply(ctx, *refusal)
 		return
 	}
 	s.jobs[j.request.Attempt] = j
-	l.queue.Push(&j.waiting)
+	l.push(j)
 	s.pump(ctx, l)
 }
 
-// refusalOf returns why a new job cannot be taken on, or nil.
+// refusalOf returns why a new job cannot be taken on, whatever the queue holds,
+// or nil.
 func (s *State) refusalOf(ctx *step.Context, l *lane, j *job) *message.DispatchResult {
-	free := l.freeSlots(ctx.Now)
-	switch {
-	case l.isDraining() || l.isUnreachable():
+	if l.isDraining() || l.isUnreachable() {
 		return refused(model.CodeUnavailable)
-	case j.request.Hedge && (free <= l.queue.Len() || l.idleConnection() == nil):
+	}
+	if j.request.Hedge && (l.freeSlots(ctx.Now) <= l.queue.Len() || l.idleConnection() == nil) {
 		return refused(model.CodeOverloaded)
-	case free > l.queue.Len():
+	}
+	return nil
+}
+
+// makeRoom refuses queued jobs of lower priority until the new one fits, or
+// returns why it does not. All sub-requests of one request have one priority, so
+// that overloaded upstreams drop the same requests and serve the others whole.
+// The idea of consistent priorities is that of DAGOR (Zhou et al., SoCC 2018).
+func (s *State) makeRoom(ctx *step.Context, l *lane, j *job) *message.DispatchResult {
+	for {
+		refusal := s.overflow(ctx, l, j)
+		if refusal == nil {
+			return nil
+		}
+		lowest := l.queue.Lowest()
+		if lowest == nil || lowest.Priority >= j.waiting.Priority || s.settings.NoEviction {
+			return refusal
+		}
+		s.finish(ctx, lowest.Value, *refused(model.CodeOverloaded))
+	}
+}
+
+// overflow returns why a new job does not fit into the queue, or nil.
+func (s *State) overflow(ctx *step.Context, l *lane, j *job) *message.DispatchResult {
+	switch {
+	case l.freeSlots(ctx.Now) > l.queue.Len():
 		return nil
 	case l.policy.QueueLimit > 0 && l.queue.Len() >= l.policy.QueueLimit:
 		return refused(model.CodeOverloaded)
 	case s.settings.NoEarlyRefusal:
 		return nil
 	}
-	return l.lateness(ctx, j)
-}
-
-// lateness refuses a job that would start too late, given the queue before it
-// and the recent service time.
-func (l *lane) lateness(ctx *step.Context, j *job) *message.DispatchResult {
+	service := l.service.expected(ctx.Now)
 	start := ctx.Now.Add(l.expectedWait(ctx.Now, l.queue.Ahead(j.waiting.Deadline)))
-	if start.Add(l.service.expected(ctx.Now)) > j.deadline {
+	last := ctx.Now.Add(l.expectedWait(ctx.Now, l.queue.Len()))
+	switch {
+	case start.Add(service) > j.deadline:
 		return refused(model.CodeDeadline)
-	}
-	if start > j.waiting.Expiry {
+	case start > j.waiting.Expiry || last > max(l.latest, j.latestStart(service)):
 		return refused(model.CodeOverloaded)
 	}
 	return nil
 }
 
+// push queues a job.
+func (l *lane) push(j *job) {
+	if l.queue.Len() == 0 {
+		l.latest = 0
+	}
+	l.latest = max(l.latest, j.latestStart(0))
+	l.queue.Push(&j.waiting)
+}
+
 // fill adds what a result tells of the lane.
 func (l *lane) fill(ctx *step.Context, result *message.DispatchResult) {
 	result.FreeSlots = l.freeSlots(ctx.Now)
--- a/internal/reducer/dispatch/settings.go
+++ b/internal/reducer/dispatch/settings.go
@@ -19,6 +19,8 @@
 	// NoEarlyRefusal keeps work in the queue until its deadline has passed, even
 	// if it can no longer be met.
 	NoEarlyRefusal bool
+	// NoEviction refuses new work when the queue is full, whatever its priority.
+	NoEviction bool
 	// MaxOpening bounds the connections that one lane opens at a time, because
 	// each costs the upstream time. Zero means DefaultMaxOpening.
 	MaxOpening int
--- a/internal/reducer/query/finish.go
+++ b/internal/reducer/query/finish.go
@@ -1,7 +1,10 @@
 package query
 
 import (
+	"time"
+
 	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/outcome"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -16,16 +19,42 @@
 	if r.suspect && r.tasks[r.canary].state != taskRunning {
 		s.afterCanary(ctx, r)
 	}
-	if r.versionGone {
+	if r.versionGone && !r.withdrawn {
 		s.restart(ctx, r)
 	}
 	if r.unsettled == 0 || !ctx.Now.Before(r.deadline) || r.mayAnswerNow(ctx.Now) {
 		s.finish(ctx, r)
 		return
 	}
+	if !r.withdrawn && r.cannotCover() {
+		s.withdraw(ctx, r)
+	}
 	s.arm(ctx, r)
 }
 
+// withdrawTime is how long the results of withdrawn attempts are awaited.
+const withdrawTime = 20 * time.Millisecond
+
+// withdraw takes back what is open of a search that cannot reach its least
+// coverage any more. The results tell whether anything ran.
+func (s *State) withdraw(ctx *step.Context, r *request) {
+	r.withdrawn = true
+	r.deadline = min(r.deadline, ctx.Now.Add(withdrawTime))
+	ctx.Count(metricWithdrawn, "")
+	for i := range r.tasks {
+		r.tasks[i].hedgeAt = 0
+		if r.tasks[i].state == taskWaiting {
+			r.settle(&r.tasks[i], taskFailed)
+		}
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.settled {
+			ctx.Send(a.dispatcher, message.Cancel{Attempt: s.attemptID(ctx, a.number)})
+		}
+	}
+}
+
 // afterCanary scatters the rest of a suspect request, unless its canary crashed
 // an upstream.
 func (s *State) afterCanary(ctx *step.Context, r *request) {
@@ -48,6 +77,16 @@
 	return r.covered()
 }
 
+// cannotCover reports whether so many shards have failed that the least coverage
+// is out of reach: the rest would only load the upstreams.
+func (r *request) cannotCover() bool {
+	if r.isOrder() {
+		return false
+	}
+	possible := model.Coverage{Searched: r.merge.Searched() + r.unsettled, Total: len(r.tasks)}
+	return possible.Percent() < r.leastCoverage
+}
+
 // covered reports whether a search has its least coverage, and not nothing.
 func (r *request) covered() bool {
 	return r.merge.Searched() > 0 && r.merge.Percent() >= r.leastCoverage
--- a/internal/reducer/query/metrics.go
+++ b/internal/reducer/query/metrics.go
@@ -9,6 +9,7 @@
 	metricHedges         effect.Metric = "query_hedges_total"
 	metricHedgesDenied   effect.Metric = "query_hedges_denied_total"
 	metricRetries        effect.Metric = "query_retries_total"
+	metricWithdrawn      effect.Metric = "query_withdrawn_total"
 	metricRetriesDenied  effect.Metric = "query_retries_denied_total"
 	metricReroutes       effect.Metric = "query_reroutes_total"
 	metricUnmatched      effect.Metric = "query_unmatched_results_total"
--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -106,7 +106,7 @@
 		s.refuseSearch(ctx, e, refusal)
 		return
 	}
-	s.open(r)
+	s.open(ctx, r)
 	s.scatter(ctx, r)
 	s.progress(ctx, r)
 }
@@ -120,7 +120,7 @@
 		s.refuseOrder(ctx, order, refusal)
 		return
 	}
-	s.open(r)
+	s.open(ctx, r)
 	s.scatter(ctx, r)
 	s.progress(ctx, r)
 }
@@ -136,7 +136,8 @@
 }
 
 // open registers a prepared request.
-func (s *State) open(r *request) {
+func (s *State) open(ctx *step.Context, r *request) {
+	r.priority = ctx.Random.Uint32()
 	s.nextRequest++
 	r.number = s.nextRequest
 	s.requests[r.number] = r
--- a/internal/reducer/query/request.go
+++ b/internal/reducer/query/request.go
@@ -17,7 +17,9 @@
 	requestID model.RequestID
 	order     Order
 	body      []byte
-	services  []serviceRef
+	// priority is the same at all dispatchers.
+	priority uint32
+	services []serviceRef
 
 	started model.Instant
 	// answerBy is when a search answers with what it has; zero means at the
@@ -55,7 +57,9 @@
 	// reason and retryAfter are those of the last refusal.
 	reason     model.Code
 	retryAfter time.Duration
-	closed     bool
+	// withdrawn is true once the search was given up for want of coverage.
+	withdrawn bool
+	closed    bool
 }
 
 // serviceRef is one service of a request with what the node knows of it.
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -220,7 +220,7 @@
 // mayRepeat reports whether a task may run again after an attempt that ended
 // with a status.
 func (r *request) mayRepeat(t *task, status message.DispatchStatus) bool {
-	if r.crashes >= maxCrashes || t.sent >= maxAttempts {
+	if r.withdrawn || r.crashes >= maxCrashes || t.sent >= maxAttempts {
 		return false
 	}
 	if r.suspect && r.crashes > 0 {
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -132,6 +132,7 @@
 		Isolate:      service.suspect || r.crashes > 0,
 		Hedge:        a.kind == hedgeAttempt,
 		Repeatable:   service.config.Policy.Repeatable,
+		Priority:     r.priority,
 	}
 	if !r.isOrder() {
 		dispatch.Version = r.pin.Version()
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -187,5 +187,10 @@
 	}
 }
 
+// DescribeDispatch describes the dispatcher, for experiments and tests.
+func (s *State) DescribeDispatch(now model.Instant) dispatch.Description {
+	return s.dispatch.Describe(now)
+}
+
 // Config returns the configuration in force. It must not be changed.
 func (s *State) Config() *model.Config { return s.config.InForce() }
