Digests carry rumors: descriptions of other hosts

Cause: at 3,300 nodes not every node can send its digest to every other. Change: Digest.Rumors, with its codec; a convict statement that is sent again with a duration is the same change.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -229,12 +229,21 @@
 	Sequence uint64
 	// InForce lists what is known of other nodes' revisions.
 	InForce []InForce
+	// Rumors describe other nodes as the sender believes them to be.
+	Rumors []Rumor
 	// LatestRevision is the highest revision known to exist.
 	LatestRevision model.Revision
 	// Convictions is a hash of the node's convictions, to detect differences.
 	Convictions uint64
 }
 
+// Rumor is a host's description at one of its digests, as believed by the
+// sender. The sequence of the digest orders what is said of one life of a host.
+type Rumor struct {
+	Member   model.Member
+	Sequence uint64
+}
+
 // InForce is the configuration revision in force on one host.
 type InForce struct {
 	Host        model.HostID
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -234,18 +234,8 @@
 }
 
 func decodeDigest(m *peerpb.Digest) message.Digest {
-	member := m.GetMember()
 	out := message.Digest{
-		Member: model.Member{
-			Host:          model.HostID(member.GetHost()),
-			Incarnation:   model.Incarnation(member.GetIncarnation()),
-			FailureDomain: model.FailureDomain(member.GetFailureDomain()),
-			CallerAddress: member.GetCallerAddress(),
-			PeerAddress:   member.GetPeerAddress(),
-			State:         model.MemberState(member.GetState()),
-			Weight:        int(member.GetWeight()),
-			Revision:      model.Revision(member.GetRevision()),
-		},
+		Member:         decodeMember(m.GetMember()),
 		Sequence:       m.GetSequence(),
 		LatestRevision: model.Revision(m.GetLatestRevision()),
 		Convictions:    m.GetConvictions(),
@@ -258,9 +248,25 @@
 			Age:         f.GetAgeNanos(),
 		})
 	}
+	for _, r := range m.GetRumors() {
+		out.Rumors = append(out.Rumors, message.Rumor{Member: decodeMember(r.GetMember()), Sequence: r.GetSequence()})
+	}
 	return out
 }
 
+func decodeMember(m *peerpb.Member) model.Member {
+	return model.Member{
+		Host:          model.HostID(m.GetHost()),
+		Incarnation:   model.Incarnation(m.GetIncarnation()),
+		FailureDomain: model.FailureDomain(m.GetFailureDomain()),
+		CallerAddress: m.GetCallerAddress(),
+		PeerAddress:   m.GetPeerAddress(),
+		State:         model.MemberState(m.GetState()),
+		Weight:        int(m.GetWeight()),
+		Revision:      model.Revision(m.GetRevision()),
+	}
+}
+
 func decodeEntries(m *peerpb.LogEntries) message.LogEntries {
 	out := message.LogEntries{
 		Snapshot:         m.GetSnapshot(),
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -232,16 +232,7 @@
 
 func encodeDigest(m message.Digest) *peerpb.Digest {
 	out := &peerpb.Digest{
-		Member: &peerpb.Member{
-			Host:          string(m.Member.Host),
-			Incarnation:   uint64(m.Member.Incarnation),
-			FailureDomain: string(m.Member.FailureDomain),
-			CallerAddress: m.Member.CallerAddress,
-			PeerAddress:   m.Member.PeerAddress,
-			State:         string(m.Member.State),
-			Revision:      uint64(m.Member.Revision),
-			Weight:        int64(m.Member.Weight),
-		},
+		Member:         encodeMember(m.Member),
 		Sequence:       m.Sequence,
 		LatestRevision: uint64(m.LatestRevision),
 		Convictions:    m.Convictions,
@@ -251,9 +242,25 @@
 			Host: string(f.Host), Incarnation: uint64(f.Incarnation), Revision: uint64(f.Revision), AgeNanos: f.Age,
 		})
 	}
+	for _, r := range m.Rumors {
+		out.Rumors = append(out.Rumors, &peerpb.Rumor{Member: encodeMember(r.Member), Sequence: r.Sequence})
+	}
 	return out
 }
 
+func encodeMember(m model.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Host:          string(m.Host),
+		Incarnation:   uint64(m.Incarnation),
+		FailureDomain: string(m.FailureDomain),
+		CallerAddress: m.CallerAddress,
+		PeerAddress:   m.PeerAddress,
+		State:         string(m.State),
+		Revision:      uint64(m.Revision),
+		Weight:        int64(m.Weight),
+	}
+}
+
 func encodeEntries(m message.LogEntries) *peerpb.LogEntries {
 	out := &peerpb.LogEntries{
 		Snapshot: m.Snapshot, SnapshotRevision: uint64(m.SnapshotRevision), Latest: uint64(m.Latest),
--- a/internal/reducer/config/propose.go
+++ b/internal/reducer/config/propose.go
@@ -6,8 +6,6 @@
 	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -91,7 +89,7 @@
 // join adds a call to a proposal under way. Another text under the same
 // identifier is another change, which is refused.
 func (s *State) join(ctx *step.Context, p *proposal, e event.Statement) {
-	if p.text != e.Text {
+	if hashText(p.text) != hashText(e.Text) {
 		replyNotAccepted(ctx, e, model.Failf(model.CodeConflict, "change %s is under way with another text", e.Change))
 		return
 	}
@@ -209,7 +207,7 @@
 	if record.Refused {
 		return effect.StatementResult{Outcome: effect.NotAccepted, Change: id, Failure: record.refusal()}, true
 	}
-	if record.TextHash != xxhash.Sum64String(text) {
+	if record.TextHash != hashText(text) {
 		return effect.StatementResult{
 			Outcome: effect.NotAccepted, Change: id,
 			Failure: model.Failf(model.CodeConflict, "revision %d by operator %q has the same change id %s and another text",
