--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -44,6 +44,7 @@
 		{"query_retries_denied_total", "reason", "Retries that were due and not sent."},
 		{"query_retries_total", "", "Retries sent."},
 		{"query_unmatched_results_total", "reason", "Results that belong to no open attempt."},
+		{"query_withdrawn_total", "", "Searches given up because their least coverage was out of reach."},
 		{"quarantine_cleared_total", "service", "Suspects that ran to their end."},
 		{"quarantine_convictions_total", "service", "Request contents convicted of crashing upstreams."},
 		{"quarantine_refusals_total", "service", "Requests refused for their content."},
