--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -38,6 +38,9 @@
 	// Life is the life of the dispatcher that is meant, zero if it is not known. A
 	// copy that reaches a later life is dropped: the earlier one may have run it.
 	Life model.Incarnation
+	// Priority is the same for all sub-requests of one request, so that
+	// overloaded dispatchers drop the same requests whole. The highest is kept.
+	Priority uint32
 }
 
 // Kind is the kind of work a sub-request carries.
@@ -235,12 +238,21 @@
 	Sequence uint64
 	// InForce lists what is known of other nodes' revisions.
 	InForce []InForce
+	// Rumors describe other nodes as the sender believes them to be.
+	Rumors []Rumor
 	// LatestRevision is the highest revision known to exist.
 	LatestRevision model.Revision
 	// Convictions is a hash of the node's convictions, to detect differences.
 	Convictions uint64
 }
 
+// Rumor is a host's description at one of its digests, as believed by the
+// sender. The sequence of the digest orders what is said of one life of a host.
+type Rumor struct {
+	Member   model.Member
+	Sequence uint64
+}
+
 // InForce is the configuration revision in force on one host.
 type InForce struct {
 	Host        model.HostID
