--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -231,6 +231,9 @@
 	InForce []InForce
 	// Rumors describe other nodes as the sender believes them to be.
 	Rumors []Rumor
+	// Known counts the hosts that the sender has a description of: a peer that
+	// knows many more sends them.
+	Known uint32
 	// LatestRevision is the highest revision known to exist.
 	LatestRevision model.Revision
 	// Convictions is a hash of the node's convictions, to detect differences.
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -239,6 +239,7 @@
 		Sequence:       m.GetSequence(),
 		LatestRevision: model.Revision(m.GetLatestRevision()),
 		Convictions:    m.GetConvictions(),
+		Known:          m.GetKnown(),
 	}
 	for _, f := range m.GetInForce() {
 		out.InForce = append(out.InForce, message.InForce{
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -236,6 +236,7 @@
 		Sequence:       m.Sequence,
 		LatestRevision: uint64(m.LatestRevision),
 		Convictions:    m.Convictions,
+		Known:          m.Known,
 	}
 	for _, f := range m.InForce {
 		out.InForce = append(out.InForce, &peerpb.InForce{
--- /dev/null
+++ b/internal/peer/size.go
@@ -0,0 +1,19 @@
+package peer
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
+)
+
+// FrameBytes returns the encoded size of a message in bytes, without the
+// transport's own headers. It returns *MessageError for an unknown type.
+func FrameBytes(from model.Member, to model.HostID, m message.Message) (int, error) {
+	frame := &peerpb.Frame{From: string(from.Host), Incarnation: uint64(from.Incarnation), Sequence: 1, To: string(to)}
+	if err := encode(frame, m); err != nil {
+		return 0, err
+	}
+	return proto.Size(frame), nil
+}
--- a/internal/reducer/config/config.go
+++ b/internal/reducer/config/config.go
@@ -23,9 +23,13 @@
 // tick is the time between two looks at what is overdue.
 const tick = 100 * time.Millisecond
 
-// Hosts tells what is known of other hosts' configurations.
+// Hosts tells what is known of other hosts.
 type Hosts interface {
 	Revisions(now model.Instant) []membership.HostRevision
+	// Partners are the peers that get news first.
+	Partners() []model.HostID
+	// Others counts the other hosts that the node knows of.
+	Others() int
 }
 
 // State is the node's copy of the log and the proposals under way.
--- a/internal/reducer/config/exchange.go
+++ b/internal/reducer/config/exchange.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
@@ -118,21 +119,18 @@
 		return true
 	}
 	m := message.LogEntries{Entries: boundBytes(entries), Latest: applied}
-	for _, host := range pickPeers(ctx, pushFanout, source) {
+	for _, host := range s.pickPeers(ctx, pushFanout, source) {
 		ctx.Send(host, m)
 	}
 	ctx.Count(metricPushes, "")
 	return true
 }
 
-// pickPeers returns random members, without the node itself and one other.
-func pickPeers(ctx *step.Context, count int, except model.HostID) []model.HostID {
-	var hosts []model.HostID
-	for _, member := range ctx.View.Members() {
-		if member.Host != ctx.Self.Host && member.Host != except {
-			hosts = append(hosts, member.Host)
-		}
-	}
+// pickPeers returns some random partners, without the one that the news came
+// from.
+func (s *State) pickPeers(ctx *step.Context, count int, except model.HostID) []model.HostID {
+	hosts := slices.Clone(s.hosts.Partners())
+	hosts = slices.DeleteFunc(hosts, func(host model.HostID) bool { return host == except })
 	ctx.Random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts[:min(count, len(hosts))]
 }
--- a/internal/reducer/config/sync.go
+++ b/internal/reducer/config/sync.go
@@ -120,7 +120,7 @@
 		return
 	}
 	s.sync.asked = ctx.Now
-	for _, host := range pickPeers(ctx, enoughPeers, "") {
+	for _, host := range s.pickPeers(ctx, enoughPeers, "") {
 		ctx.Send(host, message.LogPull{After: s.history.applied()})
 	}
 }
@@ -148,7 +148,7 @@
 func (s *State) noticeIsolation(ctx *step.Context) {
 	y := &s.sync
 	silent := ctx.Now.Sub(max(y.lastPeer, y.lastStore)) >= isolationWait
-	isolated := silent && s.hosts != nil && len(s.hosts.Revisions(ctx.Now)) > 1
+	isolated := silent && s.hosts.Others() > 0
 	if isolated != y.isolated {
 		y.isolated = isolated
 		ctx.Log(effect.Warning, "config", "isolation from the store and all peers changed",
--- a/internal/reducer/membership/membership.go
+++ b/internal/reducer/membership/membership.go
@@ -1,6 +1,11 @@
 // Package membership keeps a node's view of the others, from the platform's
 // lagging host list and from the nodes' own digests. Views of two nodes may
 // differ for seconds; no lease or view guards a promise.
+//
+// With few hosts every node sends its digest to every other. With many, each
+// host is monitored by the next hosts on a hash ring, which alone judge its
+// silence; changes spread as rumors, and samples of what is in force where
+// travel along. See docs/design/42-membership.md.
 package membership
 
 import (
@@ -25,7 +30,7 @@
 	HostListInterval time.Duration
 }
 
-// Default settings.
+// Default settings. With many hosts the times are stretched by manyHostsFactor.
 const (
 	DefaultDigestInterval   = 250 * time.Millisecond
 	DefaultSuspectAfter     = 1 * time.Second
@@ -33,6 +38,20 @@
 	DefaultHostListInterval = 2 * time.Second
 )
 
+// Limits of a node's view.
+const (
+	// fewHosts is how many other hosts all get each digest.
+	fewHosts = 6
+	// manyHostsFactor stretches the times of the failure detector when there are
+	// more hosts.
+	manyHostsFactor = 4
+	// hostListPerHost is the least time between two readings of the host list for
+	// each host in it: the list of a large fleet is long.
+	hostListPerHost = 50 * time.Millisecond
+	// forgetAfter is how long a failed host that is not listed is remembered.
+	forgetAfter = 5 * time.Minute
+)
+
 // Timers of this part.
 const (
 	digestTimer uint64 = iota + 1
@@ -43,6 +62,8 @@
 type State struct {
 	settings Settings
 	self     model.Member
+	// declared is the node's own state before an operator's order to leave.
+	declared model.MemberState
 	sequence uint64
 	// ticks counts the digest timers.
 	ticks uint64
@@ -50,8 +71,16 @@
 	latest model.Revision
 	// convictions is the hash of the node's convictions.
 	convictions uint64
-	// records holds the other nodes, ordered by host.
+	// records holds the other hosts, ordered by host.
 	records []*record
+	// ring holds the other hosts by their places on the hash ring.
+	ring []*record
+	// partners are the random peers that the node exchanges rumors with.
+	partners partners
+	// fresh is true while there are rumors that no peer was sent yet.
+	fresh bool
+	// rotor is where the rotating part of the rumors goes on.
+	rotor int
 	// members is the cached answer of Members.
 	members []model.Member
 }
@@ -59,15 +88,16 @@
 // New returns a view that holds only the node itself.
 func New(settings Settings, self model.Member) *State {
 	self.State = model.Starting
-	s := &State{settings: settings, self: self}
-	s.refresh(0, nil)
+	s := &State{settings: settings, self: self, declared: model.Starting}
+	s.rebuild()
 	return s
 }
 
 // Self returns the node's own description.
 func (s *State) Self() model.Member { return s.self }
 
-// Members returns all members that are not failed, ordered by host.
+// Members returns all members that are not failed, ordered by host. Their
+// revisions may be older than those that Revisions returns.
 func (s *State) Members() []model.Member { return s.members }
 
 // Member returns what is known of a host.
@@ -101,12 +131,15 @@
 		return false
 	}
 	r := s.ensure(from)
-	if !r.hear(ctx.Now, m.Member, m.Sequence) {
+	if !s.hear(ctx.Now, r, m) {
 		return false
 	}
 	s.latest = max(s.latest, m.LatestRevision, m.Member.Revision)
+	s.learnRumors(ctx.Now, m.Rumors)
 	s.learnInForce(ctx.Now, m.InForce)
-	return s.refresh(ctx.Now, ctx.Config)
+	changed = s.refresh(ctx.Now, ctx.Config)
+	s.helpNewcomer(ctx, r, m.Known)
+	return changed
 }
 
 // HandleHostList takes in the platform's list. It reports whether the view
@@ -127,6 +160,12 @@
 	return s.refresh(ctx.Now, ctx.Config)
 }
 
+// HandleConfig follows another configuration: an operator may take hosts out of
+// service. It reports whether the view changed.
+func (s *State) HandleConfig(ctx *step.Context) (changed bool) {
+	return s.refresh(ctx.Now, ctx.Config)
+}
+
 // HandlePeerLost takes in the end of a stream. It reports whether the view
 // changed.
 func (s *State) HandlePeerLost(ctx *step.Context, host model.HostID) (changed bool) {
@@ -134,7 +173,7 @@
 	if r == nil {
 		return false
 	}
-	r.suspect(ctx.Now, s.settings)
+	r.lost = ctx.Now
 	return s.refresh(ctx.Now, ctx.Config)
 }
 
@@ -144,8 +183,7 @@
 	switch id {
 	case hostListTimer:
 		ctx.Emit(effect.ReadHostList{})
-		ctx.After(s.settings.HostListInterval, timer.Membership, hostListTimer)
-		return false
+		ctx.After(s.hostListInterval(ctx), timer.Membership, hostListTimer)
 	case digestTimer:
 		s.ticks++
 		changed = s.refresh(ctx.Now, ctx.Config)
@@ -155,19 +193,37 @@
 	return changed
 }
 
+// hostListInterval returns the time to the next reading of the host list, with
+// a tenth of random spread so that nodes do not read at once.
+func (s *State) hostListInterval(ctx *step.Context) time.Duration {
+	interval := max(s.settings.HostListInterval, time.Duration(len(s.records))*hostListPerHost)
+	return interval + time.Duration(ctx.Random.Int64N(int64(interval/10)+1))
+}
+
 // SetState changes the node's own state and spreads it at once.
 func (s *State) SetState(ctx *step.Context, state model.MemberState) {
-	s.self.State = state
+	s.declared = state
 	s.refresh(ctx.Now, ctx.Config)
-	s.sendDigests(ctx)
+	s.sendFull(ctx)
 }
 
-// SetConvictions changes the hash of the node's convictions in its digests.
-func (s *State) SetConvictions(hash uint64) { s.convictions = hash }
-
 // SetRevision changes the node's own revision in force.
 func (s *State) SetRevision(revision model.Revision) {
 	s.self.Revision = revision
 	s.latest = max(s.latest, revision)
 	s.rebuild()
 }
+
+// SetConvictions changes the hash of the node's convictions in its digests.
+func (s *State) SetConvictions(hash uint64) { s.convictions = hash }
+
+// hasFewHosts reports whether every host gets every digest.
+func (s *State) hasFewHosts() bool { return len(s.records) <= fewHosts }
+
+// stretch returns a time of the failure detector for the present fleet.
+func (s *State) stretch(d time.Duration) time.Duration {
+	if s.hasFewHosts() {
+		return d
+	}
+	return d * manyHostsFactor
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -199,3 +199,9 @@
 // Log returns the accepted configuration entries that the node keeps, oldest
 // first.
 func (s *State) Log() []model.LogEntry { return s.config.History() }
+
+// InForceView returns what the node knows of each host's configuration, ordered
+// by host.
+func (s *State) InForceView(now model.Instant) []membership.HostRevision {
+	return s.config.InForceView(now)
+}
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -145,6 +145,7 @@
 	ctx.Self = s.membership.Self()
 	s.quarantine.HandleConfig(ctx)
 	s.dispatch.HandleConfig(ctx)
+	s.viewChanged(ctx, s.membership.HandleConfig(ctx))
 }
 
 // stepSearch starts a search unless the node is not ready for it.
