Takeover: a starting node dispatches for nothing; retiring queues nothing

A node that has just started knew only itself and took every upstream over, so that upstreams shed; a retiring dispatcher queued work it could hardly send; reports were not sent again to a member with a new life; coordinators avoided a host for a second after it was back. Change: a node serves when it knows the listed hosts or a second has passed, and dispatches only from then on; a retiring dispatcher takes on only what it can send at once; reports go to members that started again or were suspected; a lost host is used again when it counts as serving.

--- a/internal/reducer/dispatch/bench_test.go
+++ b/internal/reducer/dispatch/bench_test.go
@@ -18,6 +18,7 @@
 // with. The step's timers are dropped.
 func fleet(upstreams int) (*State, *step.Context) {
 	b := &bench{
+		self:      model.Serving,
 		placement: &fixedPlacement{hosts: []model.HostID{self}},
 		view:      &fakeView{members: []model.Member{{Host: self, State: model.Serving}}},
 		now:       model.Instant(time.Hour),
--- a/internal/reducer/dispatch/dispatch.go
+++ b/internal/reducer/dispatch/dispatch.go
@@ -55,8 +55,8 @@
 	// refusedOnce remembers such work of which it was said that it did not run: a
 	// copy that arrives later must not run.
 	refusedOnce recentAttempts
-	// members lists the hosts that know this node's reports.
-	members []model.HostID
+	// readers lists the members that know this node's reports.
+	readers []reader
 	// listed holds the upstreams that the platform says are leaving.
 	listed map[model.UpstreamID]bool
 	// configured holds the upstreams of the configuration last seen.
@@ -96,7 +96,7 @@
 	}
 	j := s.newJob(ctx, from, m)
 	l := s.byUpstream[m.Upstream]
-	if l == nil || !l.serves(ctx.Now) || s.refusedOnce.has(m.Attempt) {
+	if l == nil || !l.takesOn(ctx.Now) || s.refusedOnce.has(m.Attempt) {
 		s.reply(ctx, j, notOwner())
 		return
 	}
--- a/internal/reducer/dispatch/lane.go
+++ b/internal/reducer/dispatch/lane.go
@@ -81,7 +81,16 @@
 	s.mean += time.Duration(serviceTimeGain * float64(elapsed-s.mean))
 }
 
-// serves reports whether the lane takes sub-requests on.
+// takesOn reports whether the lane takes a new sub-request on. One that retires
+// does so only if it can send it at once.
+func (l *lane) takesOn(now model.Instant) bool {
+	if l.owner {
+		return true
+	}
+	return l.freeSlots(now) > l.queue.Len() && l.idleConnection() != nil
+}
+
+// serves reports whether the lane may send.
 func (l *lane) serves(now model.Instant) bool { return l.owner || now < l.retires }
 
 // freeSlots returns how many more sub-requests may be sent now.
--- a/internal/reducer/dispatch/ownership.go
+++ b/internal/reducer/dispatch/ownership.go
@@ -35,7 +35,8 @@
 			configured[upstream.ID] = true
 			dispatchers := s.placement.Dispatchers(upstream.ID, members)
 			rank := slices.Index(dispatchers, ctx.Self.Host)
-			if rank < 0 {
+			if rank < 0 || ctx.Self.State == model.Starting {
+				// A node that is starting does not know the others yet.
 				continue
 			}
 			owned[upstream.ID] = true
@@ -117,8 +118,9 @@
 	return l
 }
 
-// retire gives an upstream up to another dispatcher. For a while this node goes
-// on with the half of the slots that the new one leaves to it.
+// retire gives an upstream up to another dispatcher. For a while this node uses
+// the half of the slots that the new one leaves to it, for coordinators that do
+// not know the new one yet; it queues nothing any more.
 func (s *State) retire(ctx *step.Context, l *lane) {
 	half := l.slots / 2
 	if half == 0 {
@@ -128,6 +130,7 @@
 	l.owner = false
 	l.retires = ctx.Now.Add(retirement)
 	l.limit.Hold(half, ctx.Now, retirement)
+	s.refuseQueued(ctx, l, notOwner())
 	l.setTimer(ctx, retirement, retireTimer)
 }
 
--- a/internal/reducer/dispatch/report.go
+++ b/internal/reducer/dispatch/report.go
@@ -67,20 +67,29 @@
 	ctx.Send(ctx.Self.Host, m)
 }
 
-// reportToNewMembers tells the members that were not there before what is known
-// of all upstreams.
+// reader is a member that has got all reports.
+type reader struct {
+	host        model.HostID
+	incarnation model.Incarnation
+}
+
+// reportToNewMembers tells the members that may have missed reports what is known
+// of all upstreams: those that have joined, started again, or were suspected.
 func (s *State) reportToNewMembers(ctx *step.Context) {
-	known := make(map[model.HostID]bool, len(s.members))
-	for _, host := range s.members {
-		known[host] = true
+	known := make(map[reader]bool, len(s.readers))
+	for _, r := range s.readers {
+		known[r] = true
 	}
-	s.members = s.members[:0]
+	s.readers = s.readers[:0]
 	for _, member := range ctx.View.Members() {
-		s.members = append(s.members, member.Host)
-		if known[member.Host] || member.Host == ctx.Self.Host {
+		if member.Host == ctx.Self.Host || member.State == model.Suspected {
 			continue
 		}
-		s.reportAllTo(ctx, member.Host)
+		r := reader{host: member.Host, incarnation: member.Incarnation}
+		s.readers = append(s.readers, r)
+		if !known[r] {
+			s.reportAllTo(ctx, member.Host)
+		}
 	}
 }
 
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -52,9 +52,10 @@
 	ctx.After(lifecyclePeriod, timer.Lifecycle, 0)
 }
 
-// serveWhenReady starts to serve once the node has a configuration.
+// serveWhenReady starts to serve once the node has a configuration and knows the
+// other members.
 func (s *State) serveWhenReady(ctx *step.Context) {
-	if !s.config.Ready() {
+	if !s.config.Ready() || !s.membership.Settled(ctx.Now) {
 		return
 	}
 	s.lifecycle.state = model.Serving
--- a/internal/reducer/membership/membership.go
+++ b/internal/reducer/membership/membership.go
@@ -65,6 +65,10 @@
 	// declared is the node's own state before an operator's order to leave.
 	declared model.MemberState
 	sequence uint64
+	// started is the time of Start, and listRead is true once the platform's list
+	// was read.
+	started  model.Instant
+	listRead bool
 	// ticks counts the digest timers.
 	ticks uint64
 	// latest is the highest configuration revision known to exist.
@@ -112,6 +116,21 @@
 	return r.member, true
 }
 
+// Settled reports whether the view is worth placing work by: every listed host
+// was described, or SuspectAfter has passed since the start. A node that knows
+// only itself would take all upstreams over.
+func (s *State) Settled(now model.Instant) bool {
+	if now.Sub(s.started) >= s.settings.SuspectAfter {
+		return true
+	}
+	for _, r := range s.records {
+		if r.listed && !r.listedLeaving && !r.described {
+			return false
+		}
+	}
+	return s.listRead
+}
+
 // IsStale reports whether a message comes from an earlier life of a host.
 func (s *State) IsStale(host model.HostID, incarnation model.Incarnation) bool {
 	r := s.record(host)
@@ -120,6 +139,7 @@
 
 // Start reads the host list and begins to send digests.
 func (s *State) Start(ctx *step.Context) {
+	s.started = ctx.Now
 	ctx.Emit(effect.ReadHostList{})
 	ctx.After(s.settings.HostListInterval, timer.Membership, hostListTimer)
 	ctx.After(s.settings.DigestInterval, timer.Membership, digestTimer)
@@ -148,6 +168,7 @@
 	if e.Failed {
 		return false
 	}
+	s.listRead = true
 	for _, r := range s.records {
 		r.listed = false
 		r.listedLeaving = false
--- a/internal/reducer/query/route.go
+++ b/internal/reducer/query/route.go
@@ -52,7 +52,8 @@
 	}
 }
 
-// members returns the members without the peers that were just lost.
+// members returns the members without the peers that were just lost, unless they
+// were heard again and count as serving.
 func (r *routes) members(ctx *step.Context) []model.Member {
 	members := ctx.View.Members()
 	if len(r.lost) == 0 {
@@ -60,7 +61,7 @@
 	}
 	return slices.DeleteFunc(slices.Clone(members), func(m model.Member) bool {
 		_, lost := r.lost[m.Host]
-		return lost
+		return lost && m.State != model.Serving
 	})
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -201,6 +201,12 @@
 	return s.dispatch.Describe(now)
 }
 
+// MemberState returns where the node stands between start and exit.
+func (s *State) MemberState() model.MemberState { return s.lifecycle.state }
+
+// OpenRequests counts what an exit would cut, for experiments and tests.
+func (s *State) OpenRequests() int { return s.openRequests() }
+
 // Config returns the configuration in force. It must not be changed.
 func (s *State) Config() *model.Config { return s.config.InForce() }
 
