Histories with narrow limits and short sessions; planted faults are found

Cause: limits and expiry were not reached by the histories, and nothing showed that the checker fails. Change: a fifth of the scenarios has narrow limits, a fifth short-lived sessions; six planted faults must be found.

--- a/internal/history/faults.go
+++ b/internal/history/faults.go
@@ -13,6 +13,7 @@
 type plan struct {
 	lost, silent, delayed, duplicated int
 	slowUpstreams                     bool
+	shortSessions, narrowLimits       bool
 	queueLimit                        int
 	faults                            []fault
 }
@@ -49,6 +50,8 @@
 func drawPlan(random *rand.Rand) plan {
 	p := plan{
 		slowUpstreams: random.IntN(3) == 0,
+		shortSessions: random.IntN(5) == 0,
+		narrowLimits:  random.IntN(5) == 0,
 		queueLimit:    1 + random.IntN(8),
 	}
 	if random.IntN(4) > 0 {
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -115,3 +116,60 @@
 		t.Fatal("the same seed gave another history")
 	}
 }
+
+// answeredCall returns the place of a call of a history that was answered.
+func answeredCall(t *testing.T, h *History) int {
+	t.Helper()
+	for i, call := range h.Calls {
+		if call.Returned != 0 && call.Outcome == model.Answered {
+			return i
+		}
+	}
+	t.Fatal("the history holds no answer")
+	return 0
+}
+
+// TestPlantedFaultsAreFound checks that the checker fails on histories that agree
+// with the model but for one planted fault.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	plants := []struct {
+		name  string
+		plant func(h *History, answered int)
+	}{
+		{"double run", func(h *History, answered int) {
+			call := h.Calls[answered]
+			h.Runs = append(h.Runs, Execution{ID: call.ID, Body: call.Body, At: call.Returned + 1, Number: 1 << 40})
+		}},
+		{"false refusal", func(h *History, answered int) {
+			h.Calls[answered].Outcome = model.NotRun
+			h.Calls[answered].Code = model.CodeOverloaded
+		}},
+		{"run after a refusal", func(h *History, answered int) {
+			call := h.Calls[answered]
+			call.Outcome = model.NotRun
+			call.ID.Sequence = 1 << 40
+			h.Calls = append(h.Calls, call)
+			h.Runs = append(h.Runs, Execution{ID: call.ID, Body: call.Body, At: call.Returned + 1, Number: 1 << 40})
+		}},
+		{"another's answer", func(h *History, answered int) { h.Calls[answered].Execution += 1 << 40 }},
+		{"another's content", func(h *History, answered int) { h.Calls[answered].Body = `"stolen"` }},
+		{"answer without a run", func(h *History, answered int) {
+			number := h.Calls[answered].Execution
+			h.Runs = slices.DeleteFunc(h.Runs, func(e Execution) bool { return e.Number == number })
+		}},
+	}
+	for _, p := range plants {
+		t.Run(p.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 5; seed++ {
+				_, history, err := Run(seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.plant(history, answeredCall(t, history))
+				if got := history.Check(); got != porcupine.Illegal {
+					t.Errorf("seed %d: got %s", seed, got)
+				}
+			}
+		})
+	}
+}
--- a/internal/history/scenario.go
+++ b/internal/history/scenario.go
@@ -70,7 +70,7 @@
 // build makes the world and applies its configuration.
 func (s *Scenario) build(seed uint64) error {
 	store := virtual.NewKeyValue(kv.DefaultLimits())
-	options := virtual.Options{Seed: seed, Store: store, Deliver: s.deliver, Tune: tune}
+	options := virtual.Options{Seed: seed, Store: store, Deliver: s.deliver, Tune: s.tune}
 	for n := range hostCount {
 		options.Hosts = append(options.Hosts, virtual.HostSpec{
 			Host:          model.HostID(fmt.Sprintf("host-%d", n+1)),
@@ -104,11 +104,22 @@
 	return fmt.Sprintf("the scenario's configuration: %s: %v", e.Outcome, e.Failure)
 }
 
-// tune shortens the times of a planned stop.
-func tune(settings *reducer.Settings) {
+// tune shortens the times of a planned stop, and makes limits narrow and sessions
+// short-lived in some scenarios.
+func (s *Scenario) tune(settings *reducer.Settings) {
 	settings.Entry.TTL = entryTTL
 	settings.StopGrace = 5 * time.Second
 	settings.Session.DrainFor = time.Second
+	if s.plan.shortSessions {
+		settings.Session.AcceptFor = 2 * time.Second
+		settings.Session.KeepFor = 4 * time.Second
+	}
+	if s.plan.narrowLimits {
+		settings.Session.MaxSessions = 2
+		settings.Session.MaxOrders = 2
+		settings.Session.MaxRunning = 1
+		settings.Session.MaxBytes = 1200
+	}
 }
 
 // services describes the one service of the scenario.
