--- a/internal/experiment/lab/cluster.go
+++ b/internal/experiment/lab/cluster.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
-	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer"
 	"github.com/hawthorntack/hawthorntack/internal/standin/kv"
@@ -140,20 +139,7 @@
 				i+1, address(service, i), domain(i), c.spec.Slots, c.spec.Connections)
 		}
 	}
-	c.RunFor(settleTime)
-	result := effect.StatementResult{Outcome: effect.ChangeUnknown}
-	done := false
-	c.Statement(c.Hosts()[0], event.Statement{Text: text.String()}, func(r effect.StatementResult) {
-		result = r
-		done = true
-	})
-	for end := c.Now().Add(configTime); !done && c.Now().Before(end); {
-		c.RunFor(100 * time.Millisecond)
-	}
-	if result.Outcome != effect.Accepted {
-		return &StartError{Outcome: result.Outcome, Failure: result.Failure}
-	}
-	return nil
+	return c.propose(text.String())
 }
 
 // Runs returns how many attempts began to run on the upstreams.
--- a/internal/reducer/membership/membership.go
+++ b/internal/reducer/membership/membership.go
@@ -35,7 +35,7 @@
 	DefaultDigestInterval   = 250 * time.Millisecond
 	DefaultSuspectAfter     = 1 * time.Second
 	DefaultFailAfter        = 3 * time.Second
-	DefaultHostListInterval = 2 * time.Second
+	DefaultHostListInterval = 1500 * time.Millisecond
 )
 
 // Limits of a node's view.
