--- a/internal/reducer/quarantine/quarantine.go
+++ b/internal/reducer/quarantine/quarantine.go
@@ -62,6 +62,13 @@
 	metricRefusals    effect.Metric = "quarantine_refusals_total"
 )
 
+// Settings switch the quarantine.
+type Settings struct {
+	// Off lets all content run as if no upstream had ever crashed, but for the
+	// operators' convictions. It is the baseline of experiments.
+	Off bool
+}
+
 // content names a request's service and content.
 type content struct {
 	service model.ServiceName
@@ -88,6 +95,7 @@
 
 // State holds suspects and convictions.
 type State struct {
+	settings Settings
 	subjects map[content]*subject
 	// operators holds the operators' convictions in force, with their ends; zero
 	// means never.
@@ -111,6 +119,9 @@
 	}
 }
 
+// Configure replaces the default settings.
+func (s *State) Configure(settings Settings) { s.settings = settings }
+
 // Check returns the verdict on a content.
 func (s *State) Check(ctx *step.Context, service model.ServiceName, print model.Fingerprint) Verdict {
 	c := content{service, print}
@@ -168,6 +179,9 @@
 // ran alone; a neighbour of a crashing request is never convicted with it. It
 // reports whether the crash is new.
 func (s *State) count(ctx *step.Context, c content, attempt model.AttemptID, alone bool) bool {
+	if s.settings.Off {
+		return false
+	}
 	found := s.ensure(ctx, c)
 	if found == nil || !found.add(attempt) {
 		return false
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -31,6 +31,7 @@
 	Admission  admission.Settings
 	Membership membership.Settings
 	Session    session.Settings
+	Quarantine quarantine.Settings
 	Query      query.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
 	// of the process.
@@ -110,6 +111,7 @@
 		Quarantine: s.quarantine,
 	}, settings.Query)
 	s.session = session.New(s.query)
+	s.quarantine.Configure(settings.Quarantine)
 	s.session.Configure(settings.Session)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
