Search: unknown content runs on a canary before it is scattered

TestSecondCrashEndsRepeats marks its content as known: it is about what was scattered; new tests cover unknown content.

--- a/internal/reducer/quarantine/quarantine.go
+++ b/internal/reducer/quarantine/quarantine.go
@@ -102,6 +102,7 @@
 	operators map[content]model.Instant
 	// pardons holds the revision of the latest pardon of a content.
 	pardons  map[content]model.Revision
+	proven   proven
 	sweeping bool
 	// hash sums up the convictions in force on the nodes' own evidence.
 	hash uint64
@@ -115,6 +116,7 @@
 		subjects:  make(map[content]*subject),
 		operators: make(map[content]model.Instant),
 		pardons:   make(map[content]model.Revision),
+		proven:    proven{known: make(map[model.Fingerprint]bool)},
 		sent:      make(map[model.HostID]model.Instant),
 	}
 }
--- a/internal/reducer/query/finish.go
+++ b/internal/reducer/query/finish.go
@@ -19,6 +19,9 @@
 	if r.suspect && r.tasks[r.canary].state != taskRunning {
 		s.afterCanary(ctx, r)
 	}
+	if r.probing {
+		s.stepProbe(ctx, r)
+	}
 	if r.versionGone && !r.withdrawn {
 		s.restart(ctx, r)
 	}
--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -107,6 +107,7 @@
 		return
 	}
 	s.open(ctx, r)
+	r.probing = s.needsProbe(r)
 	s.scatter(ctx, r)
 	s.progress(ctx, r)
 }
--- a/internal/reducer/query/repeat_test.go
+++ b/internal/reducer/query/repeat_test.go
@@ -174,6 +174,7 @@
 
 func TestSecondCrashEndsRepeats(t *testing.T) {
 	b := benchWith(t, searchPolicy(), "v0", "v1", "v2")
+	b.markProven(1)
 	b.search(1, "v*")
 	for crash := range maxCrashes {
 		m := ended(b.dispatches()[crash], message.StatusLost)
--- a/internal/reducer/query/request.go
+++ b/internal/reducer/query/request.go
@@ -46,6 +46,12 @@
 	// suspect requests run on one canary alone before the rest is scattered.
 	suspect bool
 	canary  int
+	// probing searches run on few canaries before the rest is scattered, because
+	// their content is not known to be harmless.
+	probing bool
+	// probeAt is when another canary is due while none has replied; zero means
+	// never.
+	probeAt model.Instant
 	// crashes counts the upstreams that crashed under this request.
 	crashes int
 	// restarted is true once the request was started again on another version.
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -226,6 +226,9 @@
 	if r.suspect && r.crashes > 0 {
 		return false
 	}
+	if r.probing && r.exposed() >= maxExposed {
+		return false
+	}
 	if status.NotRun() {
 		return true
 	}
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -20,6 +20,10 @@
 // scatter sends the first attempts of all waiting tasks. Of a suspect request
 // only one canary is sent; the rest follows when it has survived.
 func (s *State) scatter(ctx *step.Context, r *request) {
+	if r.probing {
+		s.probe(ctx, r)
+		return
+	}
 	for i := range r.tasks {
 		t := &r.tasks[i]
 		if t.state != taskWaiting {
@@ -59,9 +63,15 @@
 		service.stats.hedges.Deposit(hedgeLimits(policy))
 		service.stats.retries.Deposit(retryLimits(policy))
 	}
-	if r.suspect {
-		return
+	if !r.suspect && !r.probing {
+		s.armHedge(ctx, r, t)
 	}
+}
+
+// armHedge sets the time of a task's hedge.
+func (s *State) armHedge(ctx *step.Context, r *request, t *task) {
+	service := r.serviceOf(t)
+	policy := &service.config.Policy
 	t.hedgeDelay, _ = service.stats.hedgeDelay(t.shard, policy)
 	if s.settings.FixedHedgeDelay > 0 && policy.Repeatable {
 		t.hedgeDelay = s.settings.FixedHedgeDelay
--- a/internal/reducer/query/settings.go
+++ b/internal/reducer/query/settings.go
@@ -11,4 +11,6 @@
 	// RandomReplica chooses among the usable replicas at random, without regard
 	// to slots, latencies or failure domains.
 	RandomReplica bool
+	// NoProbe scatters searches of unknown content at once, without a canary.
+	NoProbe bool
 }
--- a/internal/reducer/query/timing.go
+++ b/internal/reducer/query/timing.go
@@ -31,6 +31,9 @@
 	if r.answerBy > 0 && ctx.Now.Before(r.answerBy) {
 		next = min(next, r.answerBy)
 	}
+	if r.probing && r.probeAt > ctx.Now {
+		next = min(next, r.probeAt)
+	}
 	for i := range r.tasks {
 		if at := r.tasks[i].hedgeAt; at > 0 {
 			next = min(next, at)
@@ -58,7 +61,7 @@
 func (s *State) hedge(ctx *step.Context, r *request, index int) {
 	t := &r.tasks[index]
 	t.hedgeAt = 0
-	if t.hedged || t.running != 1 || t.sent >= maxAttempts || r.crashes > 0 || r.suspect {
+	if t.hedged || t.running != 1 || t.sent >= maxAttempts || r.crashes > 0 || r.suspect || r.probing {
 		return
 	}
 	slow := s.noteSlow(ctx, r, index)
