--- a/internal/virtual/upstream.go
+++ b/internal/virtual/upstream.go
@@ -30,6 +30,10 @@
 	CrossReplies int
 	// Down upstreams refuse connections.
 	Down bool
+	// ConnectCost is the time in which the upstream does nothing else but accept
+	// one connection: connections are accepted one after the other, and work that
+	// arrives meanwhile is delayed.
+	ConnectCost time.Duration
 
 	// Runs records every attempt that began to run.
 	Runs []Run
@@ -41,7 +45,9 @@
 	Peak            int
 	PeakConnections int
 
-	world       *World
+	world *World
+	// busyUntil is when the connections that have arrived are accepted.
+	busyUntil   model.Instant
 	running     []*work
 	connections []*connection
 }
@@ -141,19 +147,46 @@
 			return
 		}
 		u := w.upstreamAt(e.Address)
-		if u == nil || u.Down || !n.alive || (u.Connections > 0 && len(u.connections) >= u.Connections) {
-			delete(n.connections, c.id)
-			n.deliver(event.ConnectionClosed{Connection: c.id, Refused: true, Reason: "connection refused"})
+		if u == nil {
+			n.refuse(c)
 			return
 		}
-		c.upstream = u
-		c.open = true
-		u.connections = append(u.connections, c)
-		u.PeakConnections = max(u.PeakConnections, len(u.connections))
-		n.deliver(event.ConnectionOpened{Connection: c.id})
+		if u.ConnectCost == 0 {
+			n.opened(c, u)
+			return
+		}
+		w.at(u.occupy(), func() { n.opened(c, u) })
 	})
 }
 
+// occupy takes the time of accepting one connection and returns its end.
+func (u *Upstream) occupy() model.Instant {
+	u.busyUntil = max(u.busyUntil, u.world.now).Add(u.ConnectCost)
+	return u.busyUntil
+}
+
+// opened accepts a connection or refuses it.
+func (n *node) opened(c *connection, u *Upstream) {
+	if n.incarnation != c.life || n.connections[c.id] != c {
+		return
+	}
+	if u.Down || !n.alive || (u.Connections > 0 && len(u.connections) >= u.Connections) {
+		n.refuse(c)
+		return
+	}
+	c.upstream = u
+	c.open = true
+	u.connections = append(u.connections, c)
+	u.PeakConnections = max(u.PeakConnections, len(u.connections))
+	n.deliver(event.ConnectionOpened{Connection: c.id})
+}
+
+// refuse ends a connection that was never opened.
+func (n *node) refuse(c *connection) {
+	delete(n.connections, c.id)
+	n.deliver(event.ConnectionClosed{Connection: c.id, Refused: true, Reason: "connection refused"})
+}
+
 // upstreamAt returns the upstream at an address, or nil.
 func (w *World) upstreamAt(address string) *Upstream {
 	for _, u := range w.upstreams {
@@ -265,7 +298,8 @@
 	running := &work{attempt: e.Attempt, connection: c}
 	u.running = append(u.running, running)
 	u.Peak = max(u.Peak, len(u.running))
-	u.world.after(u.ServiceTime(u.world.Random), func() {
+	start := max(u.busyUntil, u.world.now)
+	u.world.at(start.Add(u.ServiceTime(u.world.Random)), func() {
 		if running.ended {
 			return
 		}
