--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,6 +23,9 @@
 func All() []Experiment {
 	return []Experiment{
 		straggler(),
+		overload(),
+		dispatchers(),
+		lostNode(),
 		control(),
 	}
 }
