--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -26,6 +26,7 @@
 		overload(),
 		dispatchers(),
 		lostNode(),
+		stops(),
 		control(),
 	}
 }
