--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -171,3 +171,9 @@
 	}
 	return items
 }
+
+// Inspect returns the items with a prefix as they stand, past faults, limits and
+// counters.
+func (s *Store) Inspect(prefix string) []event.StoreItem {
+	return s.list(effect.CallStore{Key: prefix})
+}
