A node without a recent configuration starts no new work

Cause: a node that was paused, has just started, or hears neither store nor peers may act on an old configuration.

--- /dev/null
+++ b/internal/reducer/config/sync_test.go
@@ -0,0 +1,182 @@
+package config_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/standin/kv"
+	"github.com/hawthorntack/hawthorntack/internal/virtual"
+)
+
+// storeDown takes the store away for a time.
+func (c *cluster) storeDown(d time.Duration) {
+	c.store.Store.Schedule(kv.Fault{Kind: kv.Down, From: c.Now(), Until: c.Now().Add(d)})
+}
+
+// serves reports whether a node takes requests.
+func (c *cluster) serves(host model.HostID) bool {
+	return c.State(host).Describe(c.Now()).State == string(model.Serving)
+}
+
+// cutOff ends all streams between a host and the others.
+func (c *cluster) cutOff(host model.HostID) {
+	for _, other := range c.Hosts() {
+		if other != host {
+			c.Cut(host, other)
+		}
+	}
+}
+
+func TestStartDuringAnOutage(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	c.change(t, "host-1", "create user u1")
+	c.RunFor(time.Second)
+	c.Kill("host-4")
+	c.storeDown(time.Hour)
+	c.RunFor(5 * time.Second)
+	c.Restart("host-4")
+	c.RunFor(5 * time.Second)
+	if got := c.State("host-4").Config().Revision; !c.serves("host-4") || got != 1 {
+		t.Errorf("host-4 serves: %v, at revision %d; want it to serve with its peers' revision 1", c.serves("host-4"), got)
+	}
+}
+
+func TestNobodyServesWithoutAnyConfiguration(t *testing.T) {
+	for _, nodes := range []int{1, 4} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			c := newCluster(1, nodes)
+			c.storeDown(30 * time.Second)
+			for _, host := range c.Hosts() {
+				c.Kill(host)
+				c.Restart(host)
+			}
+			c.RunFor(29 * time.Second)
+			for _, host := range c.Hosts() {
+				if c.serves(host) {
+					t.Errorf("%s serves although nobody can know the configuration", host)
+				}
+			}
+			c.RunFor(5 * time.Second)
+			for _, host := range c.Hosts() {
+				if !c.serves(host) {
+					t.Errorf("%s does not serve after the outage", host)
+				}
+			}
+		})
+	}
+}
+
+// selective is a store that some hosts cannot reach.
+type selective struct {
+	*virtual.KeyValue
+	unreachable map[model.HostID]bool
+}
+
+// Call implements virtual.Store.
+func (s selective) Call(w *virtual.World, from model.HostID, call effect.CallStore, deliver func(event.StoreResult)) {
+	if s.unreachable[from] {
+		w.After(time.Millisecond, func() { deliver(event.StoreResult{Status: event.StoreRejected}) })
+		return
+	}
+	s.KeyValue.Call(w, from, call, deliver)
+}
+
+// newSelective returns a cluster and the set of hosts that cannot reach the
+// store.
+func newSelective(nodes int) (*cluster, map[model.HostID]bool) {
+	unreachable := make(map[model.HostID]bool)
+	return newClusterWith(1, nodes, func(store *virtual.KeyValue) virtual.Store {
+		return selective{store, unreachable}
+	}), unreachable
+}
+
+func TestNodeCutFromTheStoreFollows(t *testing.T) {
+	c, unreachable := newSelective(4)
+	c.RunFor(2 * time.Second)
+	unreachable["host-2"], unreachable["host-3"], unreachable["host-4"] = true, true, true
+	c.RunFor(6 * time.Second)
+	c.change(t, "host-1", "create user u1")
+	c.RunFor(2 * time.Second)
+	for _, host := range c.Hosts() {
+		if got := c.State(host).Config().Revision; got != 1 || !c.serves(host) {
+			t.Errorf("%s is at revision %d, serves: %v", host, got, c.serves(host))
+		}
+	}
+}
+
+func TestIsolatedNodeStartsNoNewWork(t *testing.T) {
+	c, unreachable := newSelective(4)
+	c.RunFor(2 * time.Second)
+	c.change(t, "host-1", "create user u1")
+	unreachable["host-3"] = true
+	c.cutOff("host-3")
+	c.RunFor(8 * time.Second)
+	if !c.serves("host-3") {
+		t.Error("host-3 stopped serving before it was cut off for long")
+	}
+	c.RunFor(15 * time.Second)
+	if c.serves("host-3") {
+		t.Error("host-3 serves although it hears neither the store nor any peer")
+	}
+	c.change(t, "host-1", "create user u2")
+	delete(unreachable, "host-3")
+	c.RunFor(5 * time.Second)
+	if got := c.State("host-3").Config().Revision; !c.serves("host-3") || got != 2 {
+		t.Errorf("host-3 serves: %v at revision %d; want it to serve again from the store alone", c.serves("host-3"), got)
+	}
+}
+
+func TestOutageAloneStopsNobody(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	c.change(t, "host-1", "create user u1")
+	c.storeDown(10 * time.Minute)
+	c.RunFor(5 * time.Minute)
+	for _, host := range c.Hosts() {
+		if !c.serves(host) {
+			t.Errorf("%s does not serve in an outage of the store", host)
+		}
+	}
+}
+
+func TestPausedNodeCatchesUpFirst(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	c.Pause("host-2", 20*time.Second)
+	c.change(t, "host-1", "create user u1")
+	var answer model.Answer
+	c.Search("host-2", event.Search{Services: []string{"*"}}, func(a model.Answer) { answer = a })
+	c.RunFor(25 * time.Second)
+	if answer.Outcome != model.NotRun || answer.Failure == nil || answer.Failure.Code != model.CodeUnavailable {
+		t.Errorf("a search that waited out the pause got %+v, want it refused until the node has caught up", answer)
+	}
+	if got := c.State("host-2").Config().Revision; got != 1 || !c.serves("host-2") {
+		t.Errorf("host-2 is at revision %d, serves: %v", got, c.serves("host-2"))
+	}
+}
+
+func TestSnapshotsKeepTheLogShort(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	const changes = 700
+	for i := range changes {
+		c.change(t, "host-1", fmt.Sprintf("create user u%d", i))
+	}
+	c.RunFor(10 * time.Second)
+	if got := len(c.store.Store.Inspect("config/log/")); got > 400 {
+		t.Errorf("the log holds %d entries of %d changes", got, changes)
+	}
+	c.Kill("host-4")
+	c.RunFor(time.Second)
+	c.Restart("host-4")
+	c.RunFor(5 * time.Second)
+	config := c.State("host-4").Config()
+	if config.Revision != changes || len(config.Users) != changes {
+		t.Errorf("a new node has revision %d with %d users, want %d", config.Revision, len(config.Users), changes)
+	}
+}
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -46,6 +46,8 @@
 	switch s.lifecycle.state {
 	case model.Starting:
 		s.serveWhenReady(ctx)
+	case model.Serving:
+		s.pauseUnlessReady(ctx)
 	case model.Leaving:
 		s.stepLeaving(ctx)
 	}
@@ -63,6 +65,18 @@
 	ctx.Log(effect.Info, "lifecycle", "serving")
 }
 
+// pauseUnlessReady takes the node out of service while its configuration may be
+// long out of date.
+func (s *State) pauseUnlessReady(ctx *step.Context) {
+	if s.config.Ready() {
+		return
+	}
+	s.lifecycle.state = model.Starting
+	s.membership.SetState(ctx, model.Starting)
+	s.viewChanged(ctx, true)
+	ctx.Log(effect.Warning, "lifecycle", "out of service until the configuration is recent")
+}
+
 // stepStop starts the graceful stop, or ends it at once when asked again.
 func (s *State) stepStop(ctx *step.Context) {
 	if s.lifecycle.state == model.Leaving {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -166,7 +166,7 @@
 	}
 	switch m := m.(type) {
 	case message.Dispatch:
-		s.dispatch.HandleDispatch(ctx, from, m)
+		s.stepDispatch(ctx, from, m)
 	case message.Cancel:
 		s.dispatch.HandleCancel(ctx, from, m)
 	case message.DispatchResult:
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -150,6 +150,10 @@
 
 // stepSearch starts a search unless the node is not ready for it.
 func (s *State) stepSearch(ctx *step.Context, e event.Search) {
+	if !s.config.Ready() {
+		s.refuseSearch(ctx, e)
+		return
+	}
 	s.query.HandleSearch(ctx, e)
 }
 
