Refuse searches of an unready node through the ledger

Cause: 'not run' may be built only by the outcome ledger. Change: the refusal goes through a fresh ledger.

--- a/internal/reducer/unready.go
+++ b/internal/reducer/unready.go
@@ -7,6 +7,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/outcome"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -17,12 +18,13 @@
 // refuseSearch ends a search on a node without a recent configuration, before
 // any part of it has run.
 func (s *State) refuseSearch(ctx *step.Context, e event.Search) {
-	ctx.Emit(effect.ReplyCaller{Call: e.Call, Answer: model.Answer{
-		RequestID:  e.RequestID,
-		Outcome:    model.NotRun,
+	var fresh outcome.Ledger
+	answer := fresh.End(outcome.Reason{
+		ID:         e.RequestID,
 		Failure:    model.Failf(model.CodeUnavailable, "this node has no recent configuration yet"),
 		RetryAfter: unreadyRetry,
-	}})
+	})
+	ctx.Emit(effect.ReplyCaller{Call: e.Call, Answer: answer})
 }
 
 // stepDispatch passes a sub-request to the dispatcher. All work passes here on
