--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -24,6 +24,7 @@
 	return []Experiment{
 		straggler(),
 		changes(),
+		stops(),
 		control(),
 	}
 }
