--- a/internal/reducer/membership/digest.go
+++ b/internal/reducer/membership/digest.go
@@ -107,13 +107,35 @@
 func (s *State) allTargets() []model.HostID {
 	var hosts []model.HostID
 	for _, r := range s.records {
-		if r.isAlive() || s.ticks%silentTicks == 0 {
+		isNew := !r.described && r.introductions < silentTicks
+		if isNew {
+			r.introductions++
+		}
+		if r.isAlive() || isNew || s.ticks%silentTicks == 0 {
 			hosts = append(hosts, r.member.Host)
 		}
 	}
 	return hosts
 }
 
+// introduce sends the node's digest to the hosts that it has just learned of, so
+// that they can answer its messages.
+func (s *State) introduce(ctx *step.Context) {
+	if !s.hasFewHosts() {
+		return
+	}
+	var hosts []model.HostID
+	for _, r := range s.records {
+		if !r.described && r.introductions == 0 {
+			r.introductions++
+			hosts = append(hosts, r.member.Host)
+		}
+	}
+	if len(hosts) > 0 {
+		s.sendTo(ctx, hosts, s.digest())
+	}
+}
+
 // silentTargets returns now and then a random host that is failed or was never
 // heard of, so that the two sides of a mended partition find each other again. A
 // newcomer turns to some at each tick, until one sends it the table of hosts.
@@ -196,12 +218,18 @@
 
 // learnRumors takes in what a peer believes of other hosts.
 func (s *State) learnRumors(now model.Instant, rumors []message.Rumor) {
+	isTable := len(rumors) > freshRumors+rotatingRumors
 	for _, rumor := range rumors {
 		if rumor.Member.Host == s.self.Host {
 			s.refute(rumor)
 			continue
 		}
-		s.learnRumor(now, s.ensure(rumor.Member.Host), rumor)
+		r := s.ensure(rumor.Member.Host)
+		s.learnRumor(now, r, rumor)
+		if isTable {
+			// What a newcomer learns from a table is news to nobody else.
+			r.rumors = 0
+		}
 	}
 }
 
--- a/internal/reducer/membership/membership.go
+++ b/internal/reducer/membership/membership.go
@@ -151,6 +151,7 @@
 		return false
 	}
 	r := s.ensure(from)
+	isFirst := !r.described
 	if !s.hear(ctx.Now, r, m) {
 		return false
 	}
@@ -158,6 +159,9 @@
 	s.learnRumors(ctx.Now, m.Rumors)
 	s.learnInForce(ctx.Now, m.InForce)
 	changed = s.refresh(ctx.Now, ctx.Config)
+	if isFirst && s.hasFewHosts() {
+		s.sendTo(ctx, []model.HostID{from}, s.digest())
+	}
 	s.helpNewcomer(ctx, r, m.Known)
 	return changed
 }
@@ -178,7 +182,9 @@
 			s.ensure(host.Host).list(host)
 		}
 	}
-	return s.refresh(ctx.Now, ctx.Config)
+	changed = s.refresh(ctx.Now, ctx.Config)
+	s.introduce(ctx)
+	return changed
 }
 
 // HandleConfig follows another configuration: an operator may take hosts out of
--- a/internal/reducer/membership/record.go
+++ b/internal/reducer/membership/record.go
@@ -42,6 +42,8 @@
 	observed model.Instant
 	// changed is when the judged state last changed.
 	changed model.Instant
+	// introductions counts the digests sent to the host before it was described.
+	introductions int
 	// helped is when the host was last sent the descriptions of all others.
 	helped model.Instant
 	// rumors counts the digests that will still carry the host's description.
