--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -201,12 +201,17 @@
 
 // rate appends the replicas that fulfil the wish with their costs.
 func (t *Table) rate(candidates []candidate, replicas []*snapshot.Replica, wish Wish) []candidate {
-	fastest := t.fastest(replicas)
+	var buffer [8]*Stats
+	stats := buffer[:0]
 	for _, r := range replicas {
+		stats = append(stats, t.of(r.ID))
+	}
+	fastest := fastest(replicas, stats)
+	for i, r := range replicas {
 		if !r.Usable() || slices.Contains(wish.Tried, r.ID) {
 			continue
 		}
-		s := t.of(r.ID)
+		s := stats[i]
 		free := s.free(wish.Now, r)
 		if wish.FreeSlot && free <= 0 {
 			continue
@@ -221,11 +226,10 @@
 }
 
 // fastest returns the lowest latency that is known of usable replicas.
-func (t *Table) fastest(replicas []*snapshot.Replica) time.Duration {
+func fastest(replicas []*snapshot.Replica, stats []*Stats) time.Duration {
 	lowest := time.Duration(0)
-	for _, r := range replicas {
-		s := t.of(r.ID)
-		if r.Usable() && s.latency > 0 && (lowest == 0 || s.latency < lowest) {
+	for i, s := range stats {
+		if replicas[i].Usable() && s.latency > 0 && (lowest == 0 || s.latency < lowest) {
 			lowest = s.latency
 		}
 	}
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -68,6 +68,7 @@
 	}
 	if t.hedgeDelay > 0 {
 		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
+		r.wakeAt = 0
 	}
 }
 
--- a/internal/reducer/query/timing.go
+++ b/internal/reducer/query/timing.go
@@ -25,8 +25,13 @@
 	s.progress(ctx, r)
 }
 
-// arm sets the timer for the next moment at which the request needs attention.
+// arm sets the timer for the next moment at which the request needs attention,
+// unless one is pending: only a started task can need it earlier, and that clears
+// wakeAt.
 func (s *State) arm(ctx *step.Context, r *request) {
+	if r.wakeAt != 0 {
+		return
+	}
 	next := r.deadline
 	if r.answerBy > 0 && ctx.Now.Before(r.answerBy) {
 		next = min(next, r.answerBy)
@@ -36,9 +41,6 @@
 			next = min(next, at)
 		}
 	}
-	if r.wakeAt != 0 && r.wakeAt <= next {
-		return
-	}
 	r.wakeAt = next
 	ctx.After(next.Sub(ctx.Now), timer.Query, r.number)
 }
