--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,6 +23,7 @@
 func All() []Experiment {
 	return []Experiment{
 		straggler(),
+		rollingVersions(),
 	}
 }
 
--- a/internal/experiment/lab/cluster.go
+++ b/internal/experiment/lab/cluster.go
@@ -50,7 +50,9 @@
 // Cluster is a running world.
 type Cluster struct {
 	*virtual.World
-	spec Spec
+	// Counts sums the nodes' counters.
+	Counts map[effect.Metric]int
+	spec   Spec
 }
 
 // StartError reports that a cluster did not take its configuration.
@@ -78,7 +80,9 @@
 			FailureDomain: domain(i),
 		})
 	}
-	c := &Cluster{World: virtual.New(options), spec: spec}
+	c := &Cluster{Counts: make(map[effect.Metric]int), spec: spec}
+	options.Observe = c.count
+	c.World = virtual.New(options)
 	for service := range spec.Services {
 		for i := range spec.Replicas {
 			c.addUpstream(service, i)
@@ -91,6 +95,15 @@
 	return c, nil
 }
 
+// count adds a step's counters.
+func (c *Cluster) count(_ model.HostID, _ event.Envelope, effects []effect.Effect) {
+	for _, e := range effects {
+		if count, ok := e.(effect.Count); ok {
+			c.Counts[count.Metric] += int(count.Delta)
+		}
+	}
+}
+
 // domain returns the failure domain of the i-th host or replica.
 func domain(i int) model.FailureDomain {
 	return model.FailureDomain(fmt.Sprintf("domain-%d", i%failureDomains+1))
--- a/internal/experiment/lab/load.go
+++ b/internal/experiment/lab/load.go
@@ -23,6 +23,9 @@
 	Duration time.Duration
 	// Services are the names and patterns of each search.
 	Services []string
+	// Split sends one search for each entry of Services and joins their answers,
+	// as a caller without a common snapshot would.
+	Split bool
 	// Seed draws the times and the nodes that the callers use.
 	Seed uint64
 }
@@ -99,7 +102,7 @@
 			return
 		}
 		number++
-		c.search(load.Services, number, random, result, !c.Now().Before(begin))
+		c.search(load, number, random, result, !c.Now().Before(begin))
 		gap := time.Duration(random.ExpFloat64() / load.Rate * float64(time.Second))
 		c.After(gap, next)
 	}
@@ -113,7 +116,7 @@
 }
 
 // search sends one search to a random node that is alive.
-func (c *Cluster) search(services []string, number int, random *rand.Rand, result *Result, measured bool) {
+func (c *Cluster) search(load Load, number int, random *rand.Rand, result *Result, measured bool) {
 	hosts := c.Hosts()
 	host := hosts[random.IntN(len(hosts))]
 	for !c.Alive(host) {
@@ -124,11 +127,49 @@
 	if measured {
 		result.Sent++
 	}
-	c.Search(host, event.Search{Services: services, Query: query}, func(answer model.Answer) {
+	done := func(answer model.Answer) {
 		if measured {
 			result.add(answer, query, c.Now().Sub(start))
 		}
-	})
+	}
+	if !load.Split {
+		c.Search(host, event.Search{Services: load.Services, Query: query}, done)
+		return
+	}
+	join := joined{left: len(load.Services), done: done}
+	for _, service := range load.Services {
+		c.Search(host, event.Search{Services: []string{service}, Query: query}, join.add)
+	}
+}
+
+// joined puts the answers of several searches together.
+type joined struct {
+	left   int
+	answer model.Answer
+	done   func(model.Answer)
+}
+
+// add takes in one answer. The whole is answered only if all parts are.
+func (j *joined) add(part model.Answer) {
+	whole := &j.answer
+	if whole.Coverage == nil {
+		*whole = part
+		whole.Coverage = &model.Coverage{}
+		whole.Results = nil
+		whole.Planned, whole.Attempts = 0, 0
+	}
+	if part.Outcome != model.Answered {
+		whole.Outcome = part.Outcome
+	}
+	whole.Coverage.Searched += part.Coverage.Searched
+	whole.Coverage.Total += part.Coverage.Total
+	whole.Results = append(whole.Results, part.Results...)
+	whole.Planned += part.Planned
+	whole.Attempts += part.Attempts
+	j.left--
+	if j.left == 0 {
+		j.done(*whole)
+	}
 }
 
 // add takes in one answer.
--- a/internal/reducer/query/service.go
+++ b/internal/reducer/query/service.go
@@ -17,6 +17,9 @@
 	// fallbackHedgeShare is the share of the deadline after which a hedge is due
 	// while no latency is known.
 	fallbackHedgeShare = 0.5
+	// ordinaryHedgeShare is the share of the hedge budget that is spent while all
+	// replicas are well; the rest is kept for stragglers.
+	ordinaryHedgeShare = 0.5
 	// leastHedgeDelay keeps hedges from firing within the noise of a network.
 	leastHedgeDelay = 1 * time.Millisecond
 )
@@ -70,13 +73,14 @@
 )
 
 // hedgeDelay returns how long an attempt may take before a hedge is due: the
-// quantile of the shard's recent latencies that the budget leaves uncovered.
+// quantile of the shard's recent latencies that ordinaryHedgeShare of the budget
+// leaves uncovered.
 // Zero means that the policy permits no hedges.
 func (s *serviceStats) hedgeDelay(shard model.ShardID, policy *model.Policy) (time.Duration, hedgeSource) {
 	if !policy.Repeatable || policy.HedgeBudget <= 0 {
 		return 0, hedgeNever
 	}
-	quantile := 1 - policy.HedgeBudget.Of(1)
+	quantile := 1 - policy.HedgeBudget.Of(ordinaryHedgeShare)
 	if tracker, ok := s.shards[shard]; ok {
 		if delay, ok := tracker.Quantile(quantile); ok {
 			return max(delay, leastHedgeDelay), hedgeByShard
