Pin the newest version that is widely held

Cause: in M5 the first replica that took a version in got all of the load, because the newest version of equal coverage was pinned.

Change: among the versions of the greatest coverage the newest is pinned that at least 0.6 times as many replicas of each shard hold as of the most widely held one.

Coverage that is lost when upstreams drop the old version at once beside a straggler stays open.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,7 +23,12 @@
 func All() []Experiment {
 	return []Experiment{
 		straggler(),
+<<<<<<< HEAD
 		rollingVersions(),
+=======
+		stops(),
+		control(),
+>>>>>>> main
 	}
 }
 
--- a/internal/experiment/m5_versions.go
+++ b/internal/experiment/m5_versions.go
@@ -8,6 +8,8 @@
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/experiment/lab"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/snapshot"
 )
 
 // The sizes of experiment M5; the services are those of M1.
@@ -36,6 +38,22 @@
 	swap bool
 }
 
+// m5Policy is one way to choose the version.
+type m5Policy struct {
+	name string
+	// split sends one search for each service.
+	split      bool
+	preference snapshot.Preference
+}
+
+func m5Policies() []m5Policy {
+	return []m5Policy{
+		{name: "no pin", split: true},
+		{name: "pin the newest", preference: snapshot.Newest},
+		{name: "pin the widely held", preference: snapshot.WidelyHeld},
+	}
+}
+
 // rollingVersions is experiment M5.
 func rollingVersions() Experiment {
 	return Experiment{
@@ -54,7 +72,7 @@
 			"Target: 0 mixed answers; the coverage that is lost is stated.",
 			fmt.Sprintf("%d searches/s (overload: %d), each to %d services; %d versions, one every %v, one replica of each service every %v.",
 				m1Rate, m1Rate*m5Overload, m1Services, m5Versions, m5Period, m5Step),
-			"Without a pin means one search a service, whose answers the caller joins.",
+			"No pin means one search a service, whose answers the caller joins.",
 		},
 	}
 	faults := []m5Fault{
@@ -64,8 +82,8 @@
 		{name: "dropped at once, overload", swap: true, overload: true},
 	}
 	for _, fault := range faults {
-		for _, pinned := range []bool{false, true} {
-			row, err := runM5(seed, fault, pinned)
+		for _, policy := range m5Policies() {
+			row, err := runM5(seed, fault, policy)
 			if err != nil {
 				return Report{}, err
 			}
@@ -76,11 +94,12 @@
 }
 
 // runM5 measures one policy.
-func runM5(seed uint64, fault m5Fault, pinned bool) ([]string, error) {
+func runM5(seed uint64, fault m5Fault, policy m5Policy) ([]string, error) {
 	cluster, err := lab.Start(lab.Spec{
 		Seed: seed, Hosts: m1Hosts, Services: m1Services, Replicas: m1Replicas,
 		Slots: m1Slots, Connections: m1Connections,
 		Policy:      "answer at deadline deadline 500ms coverage at least 50% repeat yes hedge budget 5% retry budget 10% refuse queue 64 wait 400ms",
+		Tune:        func(s *reducer.Settings) { s.Query.Preference = policy.preference },
 		ServiceTime: serviceTime,
 	})
 	if err != nil {
@@ -91,12 +110,10 @@
 	}
 	roll(cluster, seed, fault.swap)
 	load := lab.Load{Rate: m1Rate, Warmup: m1Warmup, Duration: m5Duration, Services: []string{"counter-*"}, Seed: seed}
-	name := "pin"
 	if fault.overload {
 		load.Rate *= m5Overload
 	}
-	if !pinned {
-		name = "no pin"
+	if policy.split {
 		load.Split = true
 		load.Services = nil
 		for service := range m1Services {
@@ -105,7 +122,7 @@
 	}
 	result := cluster.Run(load)
 	return []string{
-		fault.name, name, fmt.Sprint(result.Answered), fmt.Sprint(result.Mixed),
+		fault.name, policy.name, fmt.Sprint(result.Answered), fmt.Sprint(result.Mixed),
 		fmt.Sprintf("%.3f", result.Coverage()), fmt.Sprint(result.Partial), fmt.Sprint(result.NotRun), fmt.Sprint(result.Unknown),
 		fmt.Sprint(cluster.Counts[effect.Metric("query_restarts_total")]),
 		milliseconds(result.Quantile(50)), milliseconds(result.Quantile(99)), fmt.Sprintf("%.2f", result.ExtraLoad()),
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -35,6 +35,12 @@
 	Hedge bool
 	// Repeatable is false for work that must run at most once.
 	Repeatable bool
+	// Life is the life of the dispatcher that is meant, zero if it is not known. A
+	// copy that reaches a later life is dropped: the earlier one may have run it.
+	Life model.Incarnation
+	// Priority is the same for all sub-requests of one request, so that
+	// overloaded dispatchers drop the same requests whole. The highest is kept.
+	Priority uint32
 }
 
 // Kind is the kind of work a sub-request carries.
@@ -161,6 +167,9 @@
 	// Attempt numbers the handovers that the stopping home has begun; a later one
 	// replaces an earlier one whole.
 	Attempt uint64
+	// Life is the life of the successor that is meant: a later one does not know
+	// what the earlier one started.
+	Life model.Incarnation
 	// Homes lists the homes whose sessions are handed over: the stopping one, and
 	// those that it took over itself. Every part carries all of them.
 	Homes []HandedHome
@@ -229,12 +238,24 @@
 	Sequence uint64
 	// InForce lists what is known of other nodes' revisions.
 	InForce []InForce
+	// Rumors describe other nodes as the sender believes them to be.
+	Rumors []Rumor
+	// Known counts the hosts that the sender has a description of: a peer that
+	// knows many more sends them.
+	Known uint32
 	// LatestRevision is the highest revision known to exist.
 	LatestRevision model.Revision
 	// Convictions is a hash of the node's convictions, to detect differences.
 	Convictions uint64
 }
 
+// Rumor is a host's description at one of its digests, as believed by the
+// sender. The sequence of the digest orders what is said of one life of a host.
+type Rumor struct {
+	Member   model.Member
+	Sequence uint64
+}
+
 // InForce is the configuration revision in force on one host.
 type InForce struct {
 	Host        model.HostID
--- a/internal/reducer/dispatch/lane.go
+++ b/internal/reducer/dispatch/lane.go
@@ -32,6 +32,9 @@
 	connections []*connection
 	inFlight    []*job
 	queue       *queue.Queue[*job]
+	// latest is the last time at which a job of the queue may start; it does not
+	// follow jobs that leave the queue until it is empty.
+	latest model.Instant
 	// queueTimer is when the queue's timer is due.
 	queueTimer model.Instant
 	// cancels lists sent jobs that the upstream should stop.
@@ -78,7 +81,16 @@
 	s.mean += time.Duration(serviceTimeGain * float64(elapsed-s.mean))
 }
 
-// serves reports whether the lane takes sub-requests on.
+// takesOn reports whether the lane takes a new sub-request on. One that retires
+// does so only if it can send it at once.
+func (l *lane) takesOn(now model.Instant) bool {
+	if l.owner {
+		return true
+	}
+	return l.freeSlots(now) > l.queue.Len() && l.idleConnection() != nil
+}
+
+// serves reports whether the lane may send.
 func (l *lane) serves(now model.Instant) bool { return l.owner || now < l.retires }
 
 // freeSlots returns how many more sub-requests may be sent now.
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -133,6 +133,10 @@
 		Isolate:      service.suspect || r.crashes > 0,
 		Hedge:        a.kind == hedgeAttempt,
 		Repeatable:   service.config.Policy.Repeatable,
+		Priority:     r.priority,
+	}
+	if member, known := ctx.View.Member(a.dispatcher); known {
+		dispatch.Life = member.Incarnation
 	}
 	if !r.isOrder() {
 		dispatch.Version = r.pin.Version()
--- a/internal/reducer/query/search.go
+++ b/internal/reducer/query/search.go
@@ -101,7 +101,7 @@
 // pinSnapshot pins the newest version of the greatest coverage. A search that
 // could not reach its least coverage is refused at once.
 func (s *State) pinSnapshot(ctx *step.Context, r *request, selected []*model.Service) *refusal {
-	pin := s.parts.Catalog.Pin(ctx, selected)
+	pin := s.parts.Catalog.Pin(ctx, selected, s.settings.Preference)
 	if pin.Len() > maxShards {
 		return &refusal{failure: model.Failf(model.CodeBadRequest, "%d shards are more than %d", pin.Len(), maxShards)}
 	}
--- a/internal/reducer/snapshot/pin.go
+++ b/internal/reducer/snapshot/pin.go
@@ -36,37 +36,82 @@
 	Holders []*Replica
 }
 
-// Pin chooses the newest version at which the most keys of the services can be
-// searched. A service without a map in that version counts as one shard without
-// holders.
-func (c *Catalog) Pin(ctx *step.Context, services []*model.Service) *Pin {
+// Preference chooses among the versions at which the most keys can be searched.
+type Preference uint8
+
+// The preferences.
+const (
+	// WidelyHeld takes the newest version that enough replicas of each shard
+	// hold. While a version rolls in, the few that have it are not flooded.
+	WidelyHeld Preference = iota
+	// Newest takes the newest version. It is the baseline of experiment M5.
+	Newest
+)
+
+// wideShare is the share of a shard's replicas, compared with the version that
+// most of them hold, from which on a version is widely held.
+const wideShare = 0.6
+
+// Pin chooses a version at which the most keys of the services can be searched,
+// and by the preference among several. A service without a map in that version
+// counts as one shard without holders.
+func (c *Catalog) Pin(ctx *step.Context, services []*model.Service, preference Preference) *Pin {
 	c.sync(ctx)
-	version, keys := c.chooseVersion(services)
-	pin := &Pin{version: version, keys: keys, targets: make([]Target, 0, len(services))}
+	best := c.chooseVersion(services, preference)
+	pin := &Pin{version: best.version, keys: best.keys, targets: make([]Target, 0, len(services))}
 	for i, configured := range services {
 		pin.addService(i, c.services[configured.Name], configured.Name)
 	}
 	return pin
 }
 
-// chooseVersion returns the newest version at which the most keys can be
-// searched, and zero if nothing is known.
-func (c *Catalog) chooseVersion(services []*model.Service) (best model.Version, bestKeys int) {
-	bestKeys = -1
+// choice is a version that may be pinned.
+type choice struct {
+	version model.Version
+	// keys is how many keys can be searched.
+	keys int
+	// held is the least share of the replicas of any service, see wideShare.
+	held float64
+}
+
+// chooseVersion returns the best version, and zeros if nothing is known.
+func (c *Catalog) chooseVersion(services []*model.Service, preference Preference) choice {
+	var best choice
 	for _, version := range c.candidates(services) {
-		keys := 0
-		for _, configured := range services {
-			if s := c.services[configured.Name]; s != nil {
-				if v := s.at(version); v != nil {
-					keys += v.searchableKeys()
-				}
-			}
+		next := c.assess(services, version)
+		if best.version == 0 || next.isBetter(best, preference) {
+			best = next
+		}
+	}
+	return best
+}
+
+// isBetter compares a version with a newer one.
+func (a choice) isBetter(newer choice, preference Preference) bool {
+	if a.keys != newer.keys {
+		return a.keys > newer.keys
+	}
+	return preference == WidelyHeld && newer.held < wideShare && a.held > newer.held
+}
+
+// assess computes what a version offers for the services.
+func (c *Catalog) assess(services []*model.Service, version model.Version) choice {
+	result := choice{version: version, held: 1}
+	for _, configured := range services {
+		s := c.services[configured.Name]
+		if s == nil {
+			continue
+		}
+		v := s.at(version)
+		if v == nil {
+			continue
 		}
-		if keys > bestKeys {
-			best, bestKeys = version, keys
+		result.keys += v.searchableKeys()
+		if widest := s.widest(); widest > 0 {
+			result.held = min(result.held, float64(v.leastHolders())/float64(widest))
 		}
 	}
-	return best, max(bestKeys, 0)
+	return result
 }
 
 // candidates returns the versions of any of the services, newest first.
