--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,12 +23,9 @@
 func All() []Experiment {
 	return []Experiment{
 		straggler(),
-<<<<<<< HEAD
 		rollingVersions(),
-=======
 		stops(),
 		control(),
->>>>>>> main
 	}
 }
 
