--- /dev/null
+++ b/internal/tlsconfig/settings.go
@@ -0,0 +1,99 @@
+// Package tlsconfig makes TLS configurations from files of certificates and
+// keys, and takes in replaced files while the process runs. Nodes authenticate
+// each other (mutual TLS) by certificates of one authority that hold a common
+// name of the role rather than an address, since hosts are replaced at any time.
+package tlsconfig
+
+import (
+	"fmt"
+	"time"
+)
+
+// Settings name the files. Nothing is secured whose files are not named.
+type Settings struct {
+	CallerCert   string        `long:"tls-caller-cert" env:"HAWTHORNTACK_TLS_CALLER_CERT" value-name:"FILE" description:"Certificate for callers; plain TCP without it"`
+	CallerKey    string        `long:"tls-caller-key" env:"HAWTHORNTACK_TLS_CALLER_KEY" value-name:"FILE" description:"Key of the certificate for callers"`
+	AdminCert    string        `long:"tls-admin-cert" env:"HAWTHORNTACK_TLS_ADMIN_CERT" value-name:"FILE" description:"Certificate for operators; plain TCP without it"`
+	AdminKey     string        `long:"tls-admin-key" env:"HAWTHORNTACK_TLS_ADMIN_KEY" value-name:"FILE" description:"Key of the certificate for operators"`
+	PeerCert     string        `long:"tls-peer-cert" env:"HAWTHORNTACK_TLS_PEER_CERT" value-name:"FILE" description:"This node's certificate for the other nodes; plain TCP without it"`
+	PeerKey      string        `long:"tls-peer-key" env:"HAWTHORNTACK_TLS_PEER_KEY" value-name:"FILE" description:"Key of this node's certificate"`
+	PeerCA       string        `long:"tls-peer-ca" env:"HAWTHORNTACK_TLS_PEER_CA" value-name:"FILE" description:"Authorities that sign the nodes' certificates"`
+	PeerName     string        `long:"tls-peer-name" env:"HAWTHORNTACK_TLS_PEER_NAME" value-name:"NAME" default:"hawthorntack-node" description:"DNS name that every node's certificate holds"`
+	UpstreamCA   string        `long:"tls-upstream-ca" env:"HAWTHORNTACK_TLS_UPSTREAM_CA" value-name:"FILE" description:"Authorities that sign the upstreams' certificates; plain TCP without it"`
+	UpstreamName string        `long:"tls-upstream-name" env:"HAWTHORNTACK_TLS_UPSTREAM_NAME" value-name:"NAME" default:"hawthorntack-upstream" description:"DNS name that every upstream's certificate holds"`
+	UpstreamCert string        `long:"tls-upstream-cert" env:"HAWTHORNTACK_TLS_UPSTREAM_CERT" value-name:"FILE" description:"This node's certificate for upstreams that ask for one"`
+	UpstreamKey  string        `long:"tls-upstream-key" env:"HAWTHORNTACK_TLS_UPSTREAM_KEY" value-name:"FILE" description:"Key of this node's certificate for upstreams"`
+	Reload       time.Duration `long:"tls-reload" env:"HAWTHORNTACK_TLS_RELOAD" default:"10s" description:"Time between two looks for replaced certificate files"`
+}
+
+// leastReload bounds how often files are looked at.
+const leastReload = 100 * time.Millisecond
+
+// SettingError reports a setting that cannot be used.
+type SettingError struct {
+	// Setting is the flag, such as "--tls-caller-cert".
+	Setting string
+	Err     error
+}
+
+// Error implements error.
+func (e *SettingError) Error() string { return e.Setting + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SettingError) Unwrap() error { return e.Err }
+
+// MissingError reports a setting that another one needs.
+type MissingError struct {
+	// NeededBy is the flag that needs the missing one.
+	NeededBy string
+}
+
+// Error implements error.
+func (e *MissingError) Error() string { return "must be set together with " + e.NeededBy }
+
+// FormError reports a file or value that holds something else than expected.
+type FormError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *FormError) Error() string { return e.Reason }
+
+// pair checks that a certificate and its key are both set or both not.
+func pair(certSetting, cert, keySetting, key string) error {
+	switch {
+	case cert != "" && key == "":
+		return &SettingError{Setting: keySetting, Err: &MissingError{NeededBy: certSetting}}
+	case cert == "" && key != "":
+		return &SettingError{Setting: certSetting, Err: &MissingError{NeededBy: keySetting}}
+	default:
+		return nil
+	}
+}
+
+// check returns the first combination of settings that cannot be used.
+func (s *Settings) check() error {
+	for _, err := range []error{
+		pair("--tls-caller-cert", s.CallerCert, "--tls-caller-key", s.CallerKey),
+		pair("--tls-admin-cert", s.AdminCert, "--tls-admin-key", s.AdminKey),
+		pair("--tls-peer-cert", s.PeerCert, "--tls-peer-key", s.PeerKey),
+		pair("--tls-peer-cert", s.PeerCert, "--tls-peer-ca", s.PeerCA),
+		pair("--tls-upstream-cert", s.UpstreamCert, "--tls-upstream-key", s.UpstreamKey),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	switch {
+	case s.UpstreamCert != "" && s.UpstreamCA == "":
+		return &SettingError{Setting: "--tls-upstream-ca", Err: &MissingError{NeededBy: "--tls-upstream-cert"}}
+	case s.PeerCert != "" && s.PeerName == "":
+		return &SettingError{Setting: "--tls-peer-name", Err: &FormError{Reason: "must not be empty"}}
+	case s.UpstreamCA != "" && s.UpstreamName == "":
+		return &SettingError{Setting: "--tls-upstream-name", Err: &FormError{Reason: "must not be empty"}}
+	case s.Reload < leastReload:
+		return &SettingError{Setting: "--tls-reload", Err: &FormError{Reason: fmt.Sprintf("must be at least %s", leastReload)}}
+	default:
+		return nil
+	}
+}
