--- a/internal/reducer/query/query.go
+++ b/internal/reducer/query/query.go
@@ -48,8 +48,9 @@
 
 // State holds the open searches and orders that this node coordinates.
 type State struct {
-	parts Parts
-	sink  OrderSink
+	parts    Parts
+	settings Settings
+	sink     OrderSink
 
 	// nextRequest and nextAttempt are the last numbers given out.
 	nextRequest uint64
@@ -73,10 +74,14 @@
 	index int
 }
 
-// New returns a state without open requests.
-func New(parts Parts) *State {
+// New returns a state without open requests and with the default settings.
+func New(parts Parts) *State { return NewWith(parts, Settings{}) }
+
+// NewWith returns a state without open requests.
+func NewWith(parts Parts, settings Settings) *State {
 	return &State{
 		parts:     parts,
+		settings:  settings,
 		requests:  make(map[uint64]*request),
 		calls:     make(map[model.CallID]*request),
 		attempts:  make(map[uint64]attemptRef),
@@ -101,7 +106,7 @@
 		s.refuseSearch(ctx, e, refusal)
 		return
 	}
-	s.open(r)
+	s.open(ctx, r)
 	s.scatter(ctx, r)
 	s.progress(ctx, r)
 }
@@ -115,7 +120,7 @@
 		s.refuseOrder(ctx, order, refusal)
 		return
 	}
-	s.open(r)
+	s.open(ctx, r)
 	s.scatter(ctx, r)
 	s.progress(ctx, r)
 }
@@ -131,7 +136,8 @@
 }
 
 // open registers a prepared request.
-func (s *State) open(r *request) {
+func (s *State) open(ctx *step.Context, r *request) {
+	r.priority = ctx.Random.Uint32()
 	s.nextRequest++
 	r.number = s.nextRequest
 	s.requests[r.number] = r
