Operators authenticated; administration bounded; TLS settings of the node

Cause: anybody who reached the administration API could change everything. The node takes certificates by settings.

--- a/cmd/hawthorntack/node.go
+++ b/cmd/hawthorntack/node.go
@@ -11,11 +11,13 @@
 	"github.com/labstack/gommon/bytes"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hawthorntack/hawthorntack/internal/auth"
 	"github.com/hawthorntack/hawthorntack/internal/daemon"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/platform"
 	"github.com/hawthorntack/hawthorntack/internal/reducer"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
+	"github.com/hawthorntack/hawthorntack/internal/tlsconfig"
 )
 
 // nodeCommand runs one node.
@@ -33,6 +35,7 @@
 
 	reducerSettings
 	logSettings
+	tlsSettings
 }
 
 // maxWeight is the largest weight of a host.
@@ -98,6 +101,11 @@
 	if err != nil {
 		return err
 	}
+	certificates, err := c.material()
+	if err != nil {
+		return err
+	}
+	secure(&options, certificates, auth.Settings{OperatorsOnly: c.OperatorsOnly})
 	d, err := daemon.New(options)
 	if err != nil {
 		return usageOf(err)
@@ -109,7 +117,10 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
 	go handleSignals(signals, d, log)
-	return d.Run(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go followCertificates(ctx, certificates, log)
+	return d.Run(ctx)
 }
 
 // options checks the settings; it returns *UsageError.
@@ -150,6 +161,16 @@
 	}, nil
 }
 
+// secure adds the certificates to a node's options.
+func secure(options *daemon.Options, certificates *tlsconfig.Material, settings auth.Settings) {
+	options.CallerTLS = certificates.Caller
+	options.AdminTLS = certificates.Admin
+	options.UpstreamTLS = certificates.Upstream
+	options.PeerServer = certificates.PeerServer
+	options.PeerClient = certificates.PeerClient
+	options.Auth = settings
+}
+
 // seedOr returns the seed, or one from the clock for zero.
 func seedOr(seed uint64) uint64 {
 	if seed != 0 {
--- a/cmd/hawthorntack/settings.go
+++ b/cmd/hawthorntack/settings.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -9,7 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hawthorntack/hawthorntack/internal/auth"
 	"github.com/hawthorntack/hawthorntack/internal/daemon"
+	"github.com/hawthorntack/hawthorntack/internal/tlsconfig"
 )
 
 // logSettings choose what is logged.
@@ -63,5 +66,38 @@
 	if errors.As(err, &listen) {
 		return &UsageError{Setting: listen.Setting, Reason: listen.Err.Error()}
 	}
+	var address *auth.AddressError
+	if errors.As(err, &address) {
+		return &UsageError{Setting: address.Setting, Reason: address.Reason + " (" + address.Address + ")"}
+	}
 	return err
 }
+
+// tlsSettings are the settings of TLS and of who may operate.
+type tlsSettings struct {
+	tlsconfig.Settings
+	OperatorsOnly bool `long:"operators-only" env:"HAWTHORNTACK_OPERATORS_ONLY" description:"Administration may listen on addresses other than loopback, with TLS, for configured operators only"`
+}
+
+// material reads the certificates; it returns *UsageError.
+func (s *tlsSettings) material() (*tlsconfig.Material, error) {
+	material, err := s.Load()
+	var setting *tlsconfig.SettingError
+	if errors.As(err, &setting) {
+		return nil, &UsageError{Setting: setting.Setting, Reason: setting.Err.Error()}
+	}
+	return material, err
+}
+
+// followCertificates takes in replaced certificate files until the context ends
+// and logs what it does.
+func followCertificates(ctx context.Context, material *tlsconfig.Material, log *logrus.Logger) {
+	entry := log.WithField("component", "tls")
+	material.Follow(ctx, func(changed int, err error) {
+		if err != nil {
+			entry.WithError(err).Error("certificates stay as they are")
+			return
+		}
+		entry.WithField("changed", changed).Info("certificates reloaded")
+	})
+}
--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -2,15 +2,30 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/time/rate"
 
+	"github.com/hawthorntack/hawthorntack/internal/auth"
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/statement"
+)
+
+// Limits of the administration API.
+const (
+	// adminRate and adminBurst bound the calls, in calls a second.
+	adminRate  = 200
+	adminBurst = 400
+	// statementTimeout bounds the wait for the reducer's reply, which has a bound
+	// of its own for changes.
+	statementTimeout = 10 * time.Second
 )
 
 // Administration is the reducer as operators' handlers see it.
@@ -19,20 +34,35 @@
 	Dump(ctx context.Context) ([]byte, error)
 }
 
+// Verifier tells which operator calls.
+type Verifier interface {
+	Verify(r auth.Request) (model.Operator, *model.Failure)
+}
+
+// AdminOptions are what the administration API works with.
+type AdminOptions struct {
+	Administration Administration
+	Verifier       Verifier
+	Gatherer       prometheus.Gatherer
+	// Loopback is true when the API listens on a loopback address.
+	Loopback bool
+}
+
 // Admin serves the administration API.
 type Admin struct {
-	administration Administration
+	options AdminOptions
+	limiter *rate.Limiter
 }
 
 // RegisterAdmin adds the administration API, metrics and health to an echo
-// server.
-func RegisterAdmin(e *echo.Echo, administration Administration, gatherer prometheus.Gatherer) {
-	h := &Admin{administration: administration}
-	e.POST("/v1/admin/statements", h.statements)
-	e.GET("/v1/admin/state", h.state)
-	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{})))
+// server. Metrics and health need no operator.
+func RegisterAdmin(e *echo.Echo, options AdminOptions) {
+	h := &Admin{options: options, limiter: rate.NewLimiter(adminRate, adminBurst)}
+	e.POST("/v1/admin/statements", h.statements, h.limit, h.authenticate)
+	e.GET("/v1/admin/state", h.state, h.limit)
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(options.Gatherer, promhttp.HandlerOpts{})))
 	e.GET("/healthz", h.health)
-	e.GET("/readyz", h.ready)
+	e.GET("/readyz", h.ready, h.limit)
 }
 
 // StatementBody is the body of a statement.
@@ -52,15 +82,66 @@
 	Error    *model.Failure          `json:"error,omitempty"`
 }
 
+// limit bounds the rate of calls.
+func (h *Admin) limit(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if !h.limiter.Allow() {
+			c.Response().Header().Set(echo.HeaderRetryAfter, "1")
+			return model.Failf(model.CodeRateLimited, "more than %d administration calls a second", adminRate)
+		}
+		return next(c)
+	}
+}
+
+// operatorKey is where authenticate keeps the operator.
+const operatorKey = "operator"
+
+// authenticate finds out which operator calls.
+func (h *Admin) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		operator, failure := h.verify(c)
+		if failure != nil {
+			return failure
+		}
+		c.Set(operatorKey, operator)
+		return next(c)
+	}
+}
+
+// verify checks the caller's credentials.
+func (h *Admin) verify(c echo.Context) (model.Operator, *model.Failure) {
+	operator, failure := h.options.Verifier.Verify(auth.Request{
+		Authorization: c.Request().Header.Get(echo.HeaderAuthorization),
+		Source:        c.Request().RemoteAddr,
+		Loopback:      h.options.Loopback,
+	})
+	if failure == nil {
+		return operator, nil
+	}
+	switch failure.Code {
+	case model.CodeUnauthenticated:
+		c.Response().Header().Set(echo.HeaderWWWAuthenticate, `Basic realm="hawthorntack"`)
+	case model.CodeRateLimited, model.CodeUnavailable:
+		c.Response().Header().Set(echo.HeaderRetryAfter, "2")
+	}
+	return model.Operator{}, failure
+}
+
 // statements runs an operator's text.
 func (h *Admin) statements(c echo.Context) error {
 	var body StatementBody
 	if err := decodeStrictly(c.Request().Body, &body); err != nil {
 		return err
 	}
-	result, err := h.administration.Statement(c.Request().Context(), event.Statement{
-		Text: body.Text, DryRun: body.DryRun, Change: body.Change,
+	operator, _ := c.Get(operatorKey).(model.Operator)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), statementTimeout)
+	defer cancel()
+	result, err := h.options.Administration.Statement(ctx, event.Statement{
+		Operator: operator.Name, Text: body.Text, DryRun: body.DryRun, Change: body.Change,
 	})
+	if err != nil {
+		result, err = lostReply(body, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -74,6 +155,22 @@
 	})
 }
 
+// lostReply returns the result of a statement whose reply did not come: a change
+// may yet be accepted, so its outcome is unknown.
+func lostReply(body StatementBody, err error) (effect.StatementResult, error) {
+	script, failure := statement.Parse(body.Text)
+	if body.DryRun || failure != nil || len(script.Changes) == 0 {
+		return effect.StatementResult{}, err
+	}
+	code := model.CodeUnavailable
+	if errors.Is(err, context.DeadlineExceeded) {
+		code = model.CodeDeadline
+	}
+	return effect.StatementResult{
+		Outcome: effect.ChangeUnknown, Change: body.Change, Failure: model.Failf(code, "no reply came: %v", err),
+	}, nil
+}
+
 // statementStatus maps a statement's result to an HTTP status.
 func statementStatus(result effect.StatementResult) int {
 	switch {
@@ -86,9 +183,19 @@
 	}
 }
 
-// state returns the state dump.
+// state returns the state dump. It shows all users' services, so an operator who
+// is limited to a user may not see it. While the node knows no configuration
+// there is nothing in it to protect, and it tells why the node does not start.
 func (h *Admin) state(c echo.Context) error {
-	dump, err := h.administration.Dump(c.Request().Context())
+	operator, failure := h.verify(c)
+	isStarting := failure != nil && failure.Code == model.CodeUnavailable && h.options.Loopback
+	if failure != nil && !isStarting {
+		return failure
+	}
+	if operator.User != "" {
+		return model.Failf(model.CodeForbidden, "operator %s is limited to user %s; the state dump shows all users", operator.Name, operator.User)
+	}
+	dump, err := h.options.Administration.Dump(c.Request().Context())
 	if err != nil {
 		return err
 	}
@@ -102,7 +209,7 @@
 
 // ready tells whether the node serves.
 func (h *Admin) ready(c echo.Context) error {
-	dump, err := h.administration.Dump(c.Request().Context())
+	dump, err := h.options.Administration.Dump(c.Request().Context())
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/auth/verifier_test.go
@@ -0,0 +1,211 @@
+package auth
+
+import (
+	"encoding/base64"
+	"errors"
+	"testing"
+	"time"
+
+	"golang.org/x/crypto/bcrypt"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// fixture is a verifier of two operators under a clock of its own.
+type fixture struct {
+	t         *testing.T
+	verifier  *Verifier
+	operators []model.Operator
+	known     bool
+	now       time.Time
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, known: true, now: time.Unix(1_800_000_000, 0)}
+	f.operators = []model.Operator{
+		{Name: "root", KeyHash: hashOf(t, "root-key")},
+		{Name: "anna", User: "a", KeyHash: hashOf(t, "anna-key")},
+	}
+	verifier, err := NewVerifier(func() ([]model.Operator, bool) { return f.operators, f.known }, func() time.Time { return f.now })
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.verifier = verifier
+	return f
+}
+
+func hashOf(t *testing.T, key string) string {
+	hash, err := bcrypt.GenerateFromPassword([]byte(key), bcrypt.MinCost)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(hash)
+}
+
+// verify presents a header from a source and returns the operator's name or the
+// failure's code.
+func (f *fixture) verify(header, source string) string {
+	operator, failure := f.verifier.Verify(Request{Authorization: header, Source: source + ":999"})
+	if failure != nil {
+		return string(failure.Code)
+	}
+	return string(operator.Name)
+}
+
+func TestCredentials(t *testing.T) {
+	f := newFixture(t)
+	basic := "Basic " + base64.StdEncoding.EncodeToString([]byte("anna:anna-key"))
+	for _, c := range []struct{ header, want string }{
+		{"Bearer root:root-key", "root"},
+		{"bearer anna:anna-key", "anna"},
+		{basic, "anna"},
+		{"Bearer anna:root-key", "unauthenticated"},
+		{"Bearer nobody:root-key", "unauthenticated"},
+		{"", "unauthenticated"},
+		{"Bearer anna-key", "unauthenticated"},
+		{"Basic !!", "unauthenticated"},
+		{"Digest anna:anna-key", "unauthenticated"},
+		{"Bearer anna:" + string(make([]byte, 100)), "unauthenticated"},
+	} {
+		if got := f.verify(c.header, c.header); got != c.want {
+			t.Errorf("%.40q is %s, want %s", c.header, got, c.want)
+		}
+	}
+}
+
+func TestWithoutOperatorsOnlyLoopbackIsOpen(t *testing.T) {
+	f := newFixture(t)
+	f.operators = nil
+	for _, c := range []struct {
+		known, loopback bool
+		want            model.Code
+	}{
+		{true, true, ""},
+		{true, false, model.CodeForbidden},
+		{false, true, model.CodeUnavailable},
+		{false, false, model.CodeUnavailable},
+	} {
+		f.known = c.known
+		_, failure := f.verifier.Verify(Request{Source: "127.0.0.1:1", Loopback: c.loopback})
+		switch {
+		case c.want == "" && failure != nil, c.want != "" && (failure == nil || failure.Code != c.want):
+			t.Errorf("known %t, loopback %t: %v, want %q", c.known, c.loopback, failure, c.want)
+		}
+	}
+}
+
+func TestARotatedOrDroppedKeyNoLongerOpens(t *testing.T) {
+	f := newFixture(t)
+	if got := f.verify("Bearer anna:anna-key", "h"); got != "anna" {
+		t.Fatal(got)
+	}
+	f.operators[1].KeyHash = hashOf(t, "new-key")
+	if got := f.verify("Bearer anna:anna-key", "h"); got != "unauthenticated" {
+		t.Errorf("the old key gives %s", got)
+	}
+	if got := f.verify("Bearer anna:new-key", "h"); got != "anna" {
+		t.Errorf("the new key gives %s", got)
+	}
+	f.operators = f.operators[:1]
+	if got := f.verify("Bearer anna:new-key", "h"); got != "unauthenticated" {
+		t.Errorf("a dropped operator gives %s", got)
+	}
+}
+
+func TestFailuresOfOneSourceAreLimited(t *testing.T) {
+	f := newFixture(t)
+	if got := f.verify("Bearer root:root-key", "desk"); got != "root" {
+		t.Fatal(got)
+	}
+	for range failureBurst {
+		if got := f.verify("Bearer root:guess", "desk"); got != "unauthenticated" {
+			t.Fatal(got)
+		}
+	}
+	if got := f.verify("Bearer root:guess", "desk"); got != "rate_limited" {
+		t.Errorf("one guess too many is %s", got)
+	}
+	if got := f.verify("Bearer root:root-key", "desk"); got != "root" {
+		t.Errorf("a verified key beside the guesses is %s", got)
+	}
+	if got := f.verify("Bearer anna:anna-key", "home"); got != "anna" {
+		t.Errorf("another source is %s", got)
+	}
+	f.now = f.now.Add(failureInterval)
+	if got := f.verify("Bearer root:guess", "desk"); got != "unauthenticated" {
+		t.Errorf("a guess after the wait is %s", got)
+	}
+	for i := range 3 * maxSources {
+		f.verifier.noteFailure(string(rune(i)))
+	}
+	if n := len(f.verifier.failures); n > maxSources {
+		t.Errorf("%d sources are remembered", n)
+	}
+}
+
+func TestAdministrationAddresses(t *testing.T) {
+	for _, c := range []struct {
+		address   string
+		operators bool
+		tls       bool
+		want      string
+	}{
+		{"127.0.0.1:1", false, false, ""},
+		{"[::1]:1", false, false, ""},
+		{"10.0.0.1:1", false, true, "--listen-admin"},
+		{"0.0.0.0:1", false, false, "--listen-admin"},
+		{":1", false, false, "--listen-admin"},
+		{"localhost:1", false, false, "--listen-admin"},
+		{"10.0.0.1:1", true, false, "--admin-cert"},
+		{"10.0.0.1:1", true, true, ""},
+	} {
+		err := Settings{OperatorsOnly: c.operators}.CheckAddress(c.address, c.tls)
+		var address *AddressError
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("%+v is refused: %v", c, err)
+		case c.want != "" && (!errors.As(err, &address) || address.Setting != c.want):
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
+}
+
+func TestNewKeysMatchTheirHashes(t *testing.T) {
+	key, hash, err := NewKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := bcrypt.CompareHashAndPassword([]byte(hash), []byte(key)); err != nil {
+		t.Error(err)
+	}
+	if cost, _ := bcrypt.Cost([]byte(hash)); cost != KeyCost || len(key) < 43 {
+		t.Errorf("cost %d, key of %d characters", cost, len(key))
+	}
+	if err := bcrypt.CompareHashAndPassword([]byte(absentHash), []byte(key)); !errors.Is(err, bcrypt.ErrMismatchedHashAndPassword) {
+		t.Errorf("the hash for absent operators: %v", err)
+	}
+}
+
+func BenchmarkVerifiedKey(b *testing.B) {
+	key, hash, err := NewKey()
+	if err != nil {
+		b.Fatal(err)
+	}
+	operators := []model.Operator{{Name: "root", KeyHash: hash}}
+	verifier, err := NewVerifier(func() ([]model.Operator, bool) { return operators, true }, time.Now)
+	if err != nil {
+		b.Fatal(err)
+	}
+	request := Request{Authorization: "Bearer root:" + key, Source: "127.0.0.1:1"}
+	start := time.Now()
+	if _, failure := verifier.Verify(request); failure != nil {
+		b.Fatal(failure)
+	}
+	b.Logf("the first verification takes %s", time.Since(start))
+	b.ResetTimer()
+	for range b.N {
+		if _, failure := verifier.Verify(request); failure != nil {
+			b.Fatal(failure)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/hawthorntack/hawthorntack/internal/api"
+	"github.com/hawthorntack/hawthorntack/internal/auth"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/metrics"
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -51,8 +52,10 @@
 	// CallerTLS and AdminTLS secure the HTTP servers; nil means plain TCP.
 	CallerTLS *tls.Config
 	AdminTLS  *tls.Config
-	Log       *logrus.Logger
-	Seed      uint64
+	// Auth tells where administration may listen.
+	Auth auth.Settings
+	Log  *logrus.Logger
+	Seed uint64
 }
 
 // Daemon is a node whose listeners are open.
@@ -63,6 +66,7 @@
 	admin    net.Listener
 	node     *runtime.Node
 	registry *prometheus.Registry
+	verifier *auth.Verifier
 }
 
 // ListenError reports an address that cannot be listened on.
@@ -78,8 +82,11 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
 
-// New opens the listeners; it returns *ListenError.
+// New opens the listeners; it returns *ListenError or *auth.AddressError.
 func New(options Options) (*Daemon, error) {
+	if err := options.Auth.CheckAddress(options.ListenAdmin, options.AdminTLS != nil); err != nil {
+		return nil, err
+	}
 	d := &Daemon{options: options, registry: prometheus.NewRegistry()}
 	d.registry.MustRegister(collectors.NewGoCollector())
 	d.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -101,6 +108,12 @@
 	}
 	d.node = d.newNode()
 	metrics.NewGauges(d.registry, d.node.Calls())
+	verifier, err := auth.NewVerifier(d.node.Operators, time.Now)
+	if err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.verifier = verifier
 	return d, nil
 }
 
@@ -208,7 +221,12 @@
 // adminAPI returns the administration API.
 func (d *Daemon) adminAPI() *echo.Echo {
 	e := api.NewEcho(d.options.BodyLimit)
-	api.RegisterAdmin(e, d.node.Calls(), d.registry)
+	api.RegisterAdmin(e, api.AdminOptions{
+		Administration: d.node.Calls(),
+		Verifier:       d.verifier,
+		Gatherer:       d.registry,
+		Loopback:       auth.IsLoopback(d.AdminAddress()),
+	})
 	return e
 }
 
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -152,6 +152,11 @@
 	DryRun        StatementOutcome = "dry_run"
 )
 
+// PublishOperators tells the administration API which operators are in force.
+type PublishOperators struct {
+	Operators []model.Operator
+}
+
 // ReplyDump returns the state dump as JSON.
 type ReplyDump struct {
 	Call model.CallID
@@ -213,6 +218,7 @@
 func (ReadHostList) isEffect()       {}
 func (ReplyStatement) isEffect()     {}
 func (ReplyDump) isEffect()          {}
+func (PublishOperators) isEffect()   {}
 func (Log) isEffect()                {}
 func (Count) isEffect()              {}
 func (Exit) isEffect()               {}
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -43,6 +43,7 @@
 // handleLifecycleTimer moves the node from starting to serving, and from leaving
 // to its exit.
 func (s *State) handleLifecycleTimer(ctx *step.Context) {
+	s.publishOperators(ctx)
 	switch s.lifecycle.state {
 	case model.Starting:
 		s.serveWhenReady(ctx)
@@ -64,6 +65,17 @@
 	ctx.Log(effect.Info, "lifecycle", "serving")
 }
 
+// publishOperators tells the administration API which operators are in force.
+// While the node catches up with the configuration it publishes nothing: an old
+// revision may lack the operators.
+func (s *State) publishOperators(ctx *step.Context) {
+	if !s.config.Ready() || s.published == ctx.Config {
+		return
+	}
+	s.published = ctx.Config
+	ctx.Emit(effect.PublishOperators{Operators: ctx.Config.Operators})
+}
+
 // stepStop starts the graceful stop, or ends it at once when asked again.
 func (s *State) stepStop(ctx *step.Context) {
 	if s.lifecycle.state == model.Leaving {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -81,6 +81,8 @@
 	session    *session.State
 	show       *show.Answerer
 	lifecycle  lifecycle
+	// published is the configuration whose operators were last published.
+	published *model.Config
 	// last is the time of the last event.
 	last model.Instant
 	// ctx, source and out are used again by every step.
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -141,6 +141,7 @@
 		return
 	}
 	ctx.Config = s.config.InForce()
+	s.publishOperators(ctx)
 	s.membership.SetRevision(ctx.Config.Revision)
 	ctx.Self = s.membership.Self()
 	s.quarantine.HandleConfig(ctx)
--- a/internal/runtime/node.go
+++ b/internal/runtime/node.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -50,6 +51,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	exited  chan effect.Exit
+	// operators is nil until the node knows a configuration.
+	operators atomic.Pointer[[]model.Operator]
 }
 
 // NewNode returns a node that does not run yet.
@@ -68,6 +71,16 @@
 // Calls returns the table that joins HTTP handlers with the reducer.
 func (n *Node) Calls() *Calls { return n.calls }
 
+// Operators returns the operators in force, and false while the node does not
+// know a configuration.
+func (n *Node) Operators() ([]model.Operator, bool) {
+	operators := n.operators.Load()
+	if operators == nil {
+		return nil, false
+	}
+	return *operators, true
+}
+
 // Submit passes an event to the reducer.
 func (n *Node) Submit(e event.Event) { n.loop.Submit(e) }
 
@@ -122,6 +135,8 @@
 		n.client.Send(e.To, e.Address, e.Message)
 	case effect.Log:
 		n.log(e)
+	case effect.PublishOperators:
+		n.operators.Store(&e.Operators)
 	case effect.Exit:
 		n.exit(e)
 	default:
--- a/internal/statement/apply_test.go
+++ b/internal/statement/apply_test.go
@@ -63,6 +63,8 @@
 		{"rotate operator anna key hash '" + strings.Replace(strings.Trim(hash, "'"), "$10$", "$04$", 1) + "'", RuleKeyHash},
 		{"rotate operator bob key hash " + hash, RuleUnknown},
 		{"convict three fingerprint 0f", RuleUnknown},
+		{"drop operator root", RuleLockout},
+		{"drop operator root; drop operator anna", RuleLockout},
 	} {
 		script, failure := Parse(c.text)
 		if failure != nil {
--- a/internal/statement/problem.go
+++ b/internal/statement/problem.go
@@ -46,6 +46,7 @@
 	RuleWeight           Rule = "weight_out_of_range"
 	RuleInUse            Rule = "in_use"
 	RuleKeyHash          Rule = "key_hash"
+	RuleLockout          Rule = "lockout"
 	RuleForbidden        Rule = "forbidden"
 	RuleMixed            Rule = "mixed_statements"
 	RuleSize             Rule = "size"
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -107,6 +107,7 @@
 			Name: model.OperatorName(service.Name), User: service.User, KeyHash: hash[1 : len(hash)-1],
 		})
 	}
+	config.Operators[rapid.IntRange(0, len(config.Operators)-1).Draw(t, "unlimited")].User = ""
 	return config
 }
 
--- a/internal/statement/validate.go
+++ b/internal/statement/validate.go
@@ -40,6 +40,7 @@
 	}
 	e.validateAddresses()
 	e.validateOperators()
+	e.validateLockout(old)
 }
 
 // validateService notes what is wrong with a changed service; before is nil for
@@ -155,3 +156,13 @@
 		}
 	}
 }
+
+// validateLockout notes that nobody could administer all users any more: once
+// there are operators, one of them is not limited to a user.
+func (e *editor) validateLockout(old *model.Config) {
+	isUnlimited := func(o model.Operator) bool { return o.User == "" }
+	hasOperators := len(old.Operators) > 0 || len(e.config.Operators) > 0
+	if hasOperators && !slices.ContainsFunc(e.config.Operators, isUnlimited) {
+		e.fail(RuleLockout, "one operator must remain who is not limited to a user")
+	}
+}
--- a/internal/tlsconfig/material.go
+++ b/internal/tlsconfig/material.go
@@ -39,10 +39,10 @@
 	}
 	m := &Material{reload: s.Reload}
 	if s.CallerCert != "" {
-		m.Caller = m.server(newCertificate("--tls-caller-cert", s.CallerCert, s.CallerKey))
+		m.Caller = m.server(newCertificate("--caller-cert", s.CallerCert, s.CallerKey))
 	}
 	if s.AdminCert != "" {
-		m.Admin = m.server(newCertificate("--tls-admin-cert", s.AdminCert, s.AdminKey))
+		m.Admin = m.server(newCertificate("--admin-cert", s.AdminCert, s.AdminKey))
 	}
 	if s.PeerCert != "" {
 		m.addPeers(s)
@@ -91,8 +91,8 @@
 
 // addPeers makes the mutual TLS between nodes.
 func (m *Material) addPeers(s *Settings) {
-	certificate := newCertificate("--tls-peer-cert", s.PeerCert, s.PeerKey)
-	authorities := newAuthorities("--tls-peer-ca", s.PeerCA)
+	certificate := newCertificate("--peer-cert", s.PeerCert, s.PeerKey)
+	authorities := newAuthorities("--peer-ca", s.PeerCA)
 	server := m.server(certificate)
 	server.MinVersion = tls.VersionTLS13
 	server.ClientAuth = tls.RequireAnyClientCert
@@ -108,11 +108,11 @@
 
 // addUpstreams makes the configuration for upstreams.
 func (m *Material) addUpstreams(s *Settings) {
-	m.Upstream = m.client(newAuthorities("--tls-upstream-ca", s.UpstreamCA), s.UpstreamName)
+	m.Upstream = m.client(newAuthorities("--upstream-ca", s.UpstreamCA), s.UpstreamName)
 	if s.UpstreamCert == "" {
 		return
 	}
-	certificate := newCertificate("--tls-upstream-cert", s.UpstreamCert, s.UpstreamKey)
+	certificate := newCertificate("--upstream-cert", s.UpstreamCert, s.UpstreamKey)
 	m.watch(certificate)
 	m.Upstream.GetClientCertificate = present(certificate)
 }
--- a/internal/tlsconfig/settings.go
+++ b/internal/tlsconfig/settings.go
@@ -11,19 +11,19 @@
 
 // Settings name the files. Nothing is secured whose files are not named.
 type Settings struct {
-	CallerCert   string        `long:"tls-caller-cert" env:"HAWTHORNTACK_TLS_CALLER_CERT" value-name:"FILE" description:"Certificate for callers; plain TCP without it"`
-	CallerKey    string        `long:"tls-caller-key" env:"HAWTHORNTACK_TLS_CALLER_KEY" value-name:"FILE" description:"Key of the certificate for callers"`
-	AdminCert    string        `long:"tls-admin-cert" env:"HAWTHORNTACK_TLS_ADMIN_CERT" value-name:"FILE" description:"Certificate for operators; plain TCP without it"`
-	AdminKey     string        `long:"tls-admin-key" env:"HAWTHORNTACK_TLS_ADMIN_KEY" value-name:"FILE" description:"Key of the certificate for operators"`
-	PeerCert     string        `long:"tls-peer-cert" env:"HAWTHORNTACK_TLS_PEER_CERT" value-name:"FILE" description:"This node's certificate for the other nodes; plain TCP without it"`
-	PeerKey      string        `long:"tls-peer-key" env:"HAWTHORNTACK_TLS_PEER_KEY" value-name:"FILE" description:"Key of this node's certificate"`
-	PeerCA       string        `long:"tls-peer-ca" env:"HAWTHORNTACK_TLS_PEER_CA" value-name:"FILE" description:"Authorities that sign the nodes' certificates"`
-	PeerName     string        `long:"tls-peer-name" env:"HAWTHORNTACK_TLS_PEER_NAME" value-name:"NAME" default:"hawthorntack-node" description:"DNS name that every node's certificate holds"`
-	UpstreamCA   string        `long:"tls-upstream-ca" env:"HAWTHORNTACK_TLS_UPSTREAM_CA" value-name:"FILE" description:"Authorities that sign the upstreams' certificates; plain TCP without it"`
-	UpstreamName string        `long:"tls-upstream-name" env:"HAWTHORNTACK_TLS_UPSTREAM_NAME" value-name:"NAME" default:"hawthorntack-upstream" description:"DNS name that every upstream's certificate holds"`
-	UpstreamCert string        `long:"tls-upstream-cert" env:"HAWTHORNTACK_TLS_UPSTREAM_CERT" value-name:"FILE" description:"This node's certificate for upstreams that ask for one"`
-	UpstreamKey  string        `long:"tls-upstream-key" env:"HAWTHORNTACK_TLS_UPSTREAM_KEY" value-name:"FILE" description:"Key of this node's certificate for upstreams"`
-	Reload       time.Duration `long:"tls-reload" env:"HAWTHORNTACK_TLS_RELOAD" default:"10s" description:"Time between two looks for replaced certificate files"`
+	CallerCert   string        `long:"caller-cert" env:"HAWTHORNTACK_CALLER_CERT" description:"Certificate for callers; plain TCP without it"`
+	CallerKey    string        `long:"caller-key" env:"HAWTHORNTACK_CALLER_KEY" description:"Key of the certificate for callers"`
+	AdminCert    string        `long:"admin-cert" env:"HAWTHORNTACK_ADMIN_CERT" description:"Certificate for operators; plain TCP without it"`
+	AdminKey     string        `long:"admin-key" env:"HAWTHORNTACK_ADMIN_KEY" description:"Key of the certificate for operators"`
+	PeerCert     string        `long:"peer-cert" env:"HAWTHORNTACK_PEER_CERT" description:"This node's certificate for the other nodes; plain TCP without it"`
+	PeerKey      string        `long:"peer-key" env:"HAWTHORNTACK_PEER_KEY" description:"Key of this node's certificate"`
+	PeerCA       string        `long:"peer-ca" env:"HAWTHORNTACK_PEER_CA" description:"Authorities that sign the nodes' certificates"`
+	PeerName     string        `long:"peer-name" env:"HAWTHORNTACK_PEER_NAME" default:"hawthorntack-node" description:"DNS name that every node's certificate holds"`
+	UpstreamCA   string        `long:"upstream-ca" env:"HAWTHORNTACK_UPSTREAM_CA" description:"Authorities that sign the upstreams' certificates; plain TCP without it"`
+	UpstreamName string        `long:"upstream-name" env:"HAWTHORNTACK_UPSTREAM_NAME" default:"hawthorntack-upstream" description:"DNS name that every upstream's certificate holds"`
+	UpstreamCert string        `long:"upstream-cert" env:"HAWTHORNTACK_UPSTREAM_CERT" description:"This node's certificate for upstreams that ask for one"`
+	UpstreamKey  string        `long:"upstream-key" env:"HAWTHORNTACK_UPSTREAM_KEY" description:"Key of this node's certificate for upstreams"`
+	Reload       time.Duration `long:"cert-reload" env:"HAWTHORNTACK_CERT_RELOAD" default:"10s" description:"Time between two looks for replaced certificate files"`
 }
 
 // leastReload bounds how often files are looked at.
@@ -31,7 +31,7 @@
 
 // SettingError reports a setting that cannot be used.
 type SettingError struct {
-	// Setting is the flag, such as "--tls-caller-cert".
+	// Setting is the flag, such as "--caller-cert".
 	Setting string
 	Err     error
 }
@@ -74,11 +74,11 @@
 // check returns the first combination of settings that cannot be used.
 func (s *Settings) check() error {
 	for _, err := range []error{
-		pair("--tls-caller-cert", s.CallerCert, "--tls-caller-key", s.CallerKey),
-		pair("--tls-admin-cert", s.AdminCert, "--tls-admin-key", s.AdminKey),
-		pair("--tls-peer-cert", s.PeerCert, "--tls-peer-key", s.PeerKey),
-		pair("--tls-peer-cert", s.PeerCert, "--tls-peer-ca", s.PeerCA),
-		pair("--tls-upstream-cert", s.UpstreamCert, "--tls-upstream-key", s.UpstreamKey),
+		pair("--caller-cert", s.CallerCert, "--caller-key", s.CallerKey),
+		pair("--admin-cert", s.AdminCert, "--admin-key", s.AdminKey),
+		pair("--peer-cert", s.PeerCert, "--peer-key", s.PeerKey),
+		pair("--peer-cert", s.PeerCert, "--peer-ca", s.PeerCA),
+		pair("--upstream-cert", s.UpstreamCert, "--upstream-key", s.UpstreamKey),
 	} {
 		if err != nil {
 			return err
@@ -86,13 +86,13 @@
 	}
 	switch {
 	case s.UpstreamCert != "" && s.UpstreamCA == "":
-		return &SettingError{Setting: "--tls-upstream-ca", Err: &MissingError{NeededBy: "--tls-upstream-cert"}}
+		return &SettingError{Setting: "--upstream-ca", Err: &MissingError{NeededBy: "--upstream-cert"}}
 	case s.PeerCert != "" && s.PeerName == "":
-		return &SettingError{Setting: "--tls-peer-name", Err: &FormError{Reason: "must not be empty"}}
+		return &SettingError{Setting: "--peer-name", Err: &FormError{Reason: "must not be empty"}}
 	case s.UpstreamCA != "" && s.UpstreamName == "":
-		return &SettingError{Setting: "--tls-upstream-name", Err: &FormError{Reason: "must not be empty"}}
+		return &SettingError{Setting: "--upstream-name", Err: &FormError{Reason: "must not be empty"}}
 	case s.Reload < leastReload:
-		return &SettingError{Setting: "--tls-reload", Err: &FormError{Reason: fmt.Sprintf("must be at least %s", leastReload)}}
+		return &SettingError{Setting: "--cert-reload", Err: &FormError{Reason: fmt.Sprintf("must be at least %s", leastReload)}}
 	default:
 		return nil
 	}
--- a/internal/tlsconfig/tlsconfig_test.go
+++ b/internal/tlsconfig/tlsconfig_test.go
@@ -174,7 +174,7 @@
 	}
 	writePEM(t, cert, "CERTIFICATE", []byte("half written"))
 	var setting *SettingError
-	if changed, errs := m.Refresh(); changed != 0 || len(errs) != 1 || !errors.As(errs[0], &setting) || setting.Setting != "--tls-caller-cert" {
+	if changed, errs := m.Refresh(); changed != 0 || len(errs) != 1 || !errors.As(errs[0], &setting) || setting.Setting != "--caller-cert" {
 		t.Errorf("refresh of a broken file: %d changed, %v", changed, errs)
 	}
 	if serial, err := handshake(m.Caller, m.Upstream); err != nil || serial != 3 {
@@ -255,16 +255,16 @@
 		settings Settings
 		want     string
 	}{
-		{Settings{CallerCert: cert}, "--tls-caller-key"},
-		{Settings{AdminKey: key}, "--tls-admin-cert"},
-		{Settings{PeerCert: cert, PeerKey: key}, "--tls-peer-ca"},
-		{Settings{PeerCert: cert, PeerKey: key, PeerCA: cert}, "--tls-peer-name"},
-		{Settings{UpstreamCert: cert, UpstreamKey: key}, "--tls-upstream-ca"},
-		{Settings{UpstreamCA: cert}, "--tls-upstream-name"},
-		{Settings{CallerCert: filepath.Join(dir, "none"), CallerKey: key}, "--tls-caller-cert"},
-		{Settings{AdminCert: cert, AdminKey: otherKey}, "--tls-admin-cert"},
-		{Settings{UpstreamCA: empty, UpstreamName: "x"}, "--tls-upstream-ca"},
-		{Settings{Reload: time.Millisecond}, "--tls-reload"},
+		{Settings{CallerCert: cert}, "--caller-key"},
+		{Settings{AdminKey: key}, "--admin-cert"},
+		{Settings{PeerCert: cert, PeerKey: key}, "--peer-ca"},
+		{Settings{PeerCert: cert, PeerKey: key, PeerCA: cert}, "--peer-name"},
+		{Settings{UpstreamCert: cert, UpstreamKey: key}, "--upstream-ca"},
+		{Settings{UpstreamCA: cert}, "--upstream-name"},
+		{Settings{CallerCert: filepath.Join(dir, "none"), CallerKey: key}, "--caller-cert"},
+		{Settings{AdminCert: cert, AdminKey: otherKey}, "--admin-cert"},
+		{Settings{UpstreamCA: empty, UpstreamName: "x"}, "--upstream-ca"},
+		{Settings{Reload: time.Millisecond}, "--cert-reload"},
 	} {
 		if c.settings.Reload == 0 {
 			c.settings.Reload = time.Second
