Wake a withdrawn search in time; count in every laboratory cluster

A cluster from a deployment had no counters.

Change: a withdrawal clears the pending time, as a started task does.

Conclusion: whatever brings a moment forward must clear wakeAt; the comment of arm says so.

--- a/internal/experiment/lab/cluster.go
+++ b/internal/experiment/lab/cluster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer"
 	"github.com/hawthorntack/hawthorntack/internal/standin/kv"
--- a/internal/experiment/lab/deployment.go
+++ b/internal/experiment/lab/deployment.go
@@ -30,7 +30,9 @@
 			FailureDomain: d.FailureDomains[i%len(d.FailureDomains)],
 		})
 	}
-	c := &Cluster{World: virtual.New(options)}
+	c := &Cluster{Counts: make(map[effect.Metric]int)}
+	options.Observe = c.count
+	c.World = virtual.New(options)
 	config, err := d.Configure(c.place)
 	if err != nil {
 		return nil, err
--- a/internal/reducer/query/finish.go
+++ b/internal/reducer/query/finish.go
@@ -40,6 +40,7 @@
 func (s *State) withdraw(ctx *step.Context, r *request) {
 	r.withdrawn = true
 	r.deadline = min(r.deadline, ctx.Now.Add(withdrawTime))
+	r.wakeAt = 0
 	ctx.Count(metricWithdrawn, "")
 	for i := range r.tasks {
 		r.tasks[i].hedgeAt = 0
--- a/internal/reducer/query/timing.go
+++ b/internal/reducer/query/timing.go
@@ -26,8 +26,8 @@
 }
 
 // arm sets the timer for the next moment at which the request needs attention,
-// unless one is pending: only a started task can need it earlier, and that clears
-// wakeAt.
+// unless one is pending: only a started task or a withdrawal can need it earlier,
+// and those clear wakeAt.
 func (s *State) arm(ctx *step.Context, r *request) {
 	if r.wakeAt != 0 {
 		return
