--- a/internal/reducer/query/restart.go
+++ b/internal/reducer/query/restart.go
@@ -18,7 +18,7 @@
 	if r.restarted || float64(r.timeLeft(ctx.Now)) < leastRestartShare*float64(whole) {
 		return
 	}
-	pin := s.parts.Catalog.Pin(ctx, r.configs())
+	pin := s.parts.Catalog.Pin(ctx, r.configs(), s.settings.Preference)
 	if pin.Version() == r.pin.Version() || pin.SearchableKeys() <= r.reachableKeys() {
 		return
 	}
--- a/internal/reducer/snapshot/snapshot_test.go
+++ b/internal/reducer/snapshot/snapshot_test.go
@@ -98,7 +98,7 @@
 			for _, r := range test.reports {
 				c.HandleReport(ctx, r)
 			}
-			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]})
+			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld)
 			if pin.Version() != test.want || pin.Len() != test.total {
 				t.Fatalf("pinned %d with %d shards", pin.Version(), pin.Len())
 			}
@@ -106,12 +106,36 @@
 	}
 }
 
+func TestPinWaitsUntilAVersionIsWidelyHeld(t *testing.T) {
+	all := []model.ShardID{"a", "b"}
+	older := model.Holding{Version: 1, Shards: halves("a", "b"), Holds: all}
+	newer := model.Holding{Version: 2, Shards: halves("a", "b"), Holds: all}
+	want := []model.Version{1, 1, 2, 2}
+	for rolled, version := range want {
+		c, ctx := catalogOf(3)
+		for i := range 3 {
+			if i < rolled {
+				c.HandleReport(ctx, report(i, 1, newer))
+			} else {
+				c.HandleReport(ctx, report(i, 1, older))
+			}
+		}
+		services := []*model.Service{&ctx.Config.Services[0]}
+		if got := c.Pin(ctx, services, WidelyHeld).Version(); got != version {
+			t.Errorf("pinned %d when %d of 3 have the newer version, want %d", got, rolled, version)
+		}
+		if got := c.Pin(ctx, services, Newest).Version(); rolled > 0 && got != 2 {
+			t.Errorf("the baseline pinned %d when %d of 3 have the newer version", got, rolled)
+		}
+	}
+}
+
 func TestDrainingAndUnreachableAreNotCounted(t *testing.T) {
 	c, ctx := catalogOf(1)
 	r := report(0, 1, model.Holding{Version: 1, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}})
 	r.Draining = true
 	c.HandleReport(ctx, r)
-	if pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}); pin.Searchable() != 0 {
+	if pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld); pin.Searchable() != 0 {
 		t.Fatalf("%d shards of a draining upstream", pin.Searchable())
 	}
 }
@@ -145,7 +169,7 @@
 			for _, r := range rapid.Permutation(reports).Draw(t, "order") {
 				c.HandleReport(ctx, r)
 			}
-			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]})
+			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld)
 			chosen = append(chosen, pin.Target(0).Name)
 			for i := range pin.Len() {
 				if len(pin.Target(i).Holders) == 0 {
@@ -163,7 +187,7 @@
 	c, ctx := catalogOf(1)
 	c.HandleReport(ctx, report(0, 1, model.Holding{Version: 3, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}}))
 	services := []*model.Service{&ctx.Config.Services[0]}
-	pin, other := c.Pin(ctx, services), c.Pin(ctx, services)
+	pin, other := c.Pin(ctx, services, WidelyHeld), c.Pin(ctx, services, WidelyHeld)
 	row := []model.Row{[]byte("1")}
 	for name, part := range map[string]func() (Part, error){
 		"version": func() (Part, error) { return pin.Part(0, 2, []model.ShardID{"a"}, row) },
