--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -26,6 +26,8 @@
 		overload(),
 		dispatchers(),
 		lostNode(),
+		rollingVersions(),
+		changes(),
 		stops(),
 		control(),
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -81,6 +81,8 @@
 	session    *session.State
 	show       *show.Answerer
 	lifecycle  lifecycle
+	// published is the configuration whose operators were last published.
+	published *model.Config
 	// last is the time of the last event.
 	last model.Instant
 	// ctx, source and out are used again by every step.
@@ -166,7 +168,7 @@
 	}
 	switch m := m.(type) {
 	case message.Dispatch:
-		s.dispatch.HandleDispatch(ctx, from, m)
+		s.stepDispatch(ctx, from, m)
 	case message.Cancel:
 		s.dispatch.HandleCancel(ctx, from, m)
 	case message.DispatchResult:
