Retry the same replica after a pause when the fault may pass

Cause: a shard whose only replica was between two dispatchers failed at once, although most of its time was left.

Congestion fails at once as before. A withdrawal that leaves nothing open answers at once. The property test draws both kinds of reasons.

--- a/internal/reducer/query/finish.go
+++ b/internal/reducer/query/finish.go
@@ -22,13 +22,13 @@
 	if r.versionGone && !r.withdrawn {
 		s.restart(ctx, r)
 	}
+	if r.unsettled > 0 && !r.withdrawn && r.cannotCover() {
+		s.withdraw(ctx, r)
+	}
 	if r.unsettled == 0 || !ctx.Now.Before(r.deadline) || r.mayAnswerNow(ctx.Now) {
 		s.finish(ctx, r)
 		return
 	}
-	if !r.withdrawn && r.cannotCover() {
-		s.withdraw(ctx, r)
-	}
 	s.arm(ctx, r)
 }
 
@@ -43,9 +43,10 @@
 	r.wakeAt = 0
 	ctx.Count(metricWithdrawn, "")
 	for i := range r.tasks {
-		r.tasks[i].hedgeAt = 0
-		if r.tasks[i].state == taskWaiting {
-			r.settle(&r.tasks[i], taskFailed)
+		t := &r.tasks[i]
+		t.hedgeAt = 0
+		if t.state == taskWaiting || t.retryAt > 0 {
+			r.settle(t, taskFailed)
 		}
 	}
 	for i := range r.attempts {
--- a/internal/reducer/query/property_test.go
+++ b/internal/reducer/query/property_test.go
@@ -185,6 +185,7 @@
 		message.StatusTakenBack, message.StatusNotOwner,
 	}).Draw(t, "status")
 	m := ended(d, status)
+	m.Reason = rapid.SampledFrom([]model.Code{model.CodeOverloaded, model.CodeUnavailable}).Draw(t, "reason")
 	if !status.NotRun() {
 		h.ran[string(d.Body)]++
 	} else if d.Hedge && status != message.StatusNotOwner {
--- a/internal/reducer/query/repeat_test.go
+++ b/internal/reducer/query/repeat_test.go
@@ -191,3 +191,41 @@
 		t.Fatalf("%d attempts were cancelled, want the rest of the scatter and the repeat", len(b.cancels()))
 	}
 }
+
+func TestOnlyReplicaIsTriedAgainAfterAPause(t *testing.T) {
+	tests := []struct {
+		name   string
+		reason model.Code
+		sent   int
+	}{
+		{"unavailable passes", model.CodeUnavailable, 2},
+		{"congestion is not waited for", model.CodeOverloaded, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := benchWith(t, searchPolicy(), "v0")
+			for _, upstream := range []model.UpstreamID{"v0/u1", "v0/u2"} {
+				b.report(model.IndexReport{Upstream: upstream, Reachable: false})
+			}
+			b.search(1, "v0")
+			refused := ended(b.dispatches()[0], message.StatusRefused)
+			refused.Reason = test.reason
+			b.result(peerHost, refused)
+			b.advance(retryPause)
+			sent := b.dispatches()
+			if len(sent) != test.sent {
+				t.Fatalf("sent %d times, want %d", len(sent), test.sent)
+			}
+			if test.sent == 1 {
+				if len(b.replies) != 1 || b.replies[0].Answer.Outcome != model.NotRun {
+					t.Fatalf("got %+v", b.replies)
+				}
+				return
+			}
+			b.result(peerHost, answered(sent[1]))
+			if len(b.replies) != 1 || b.replies[0].Answer.Outcome != model.Answered {
+				t.Fatalf("got %+v", b.replies)
+			}
+		})
+	}
+}
--- a/internal/reducer/query/request.go
+++ b/internal/reducer/query/request.go
@@ -95,6 +95,9 @@
 	hedged  bool
 	// hedgeAt is when a hedge is due; zero means never.
 	hedgeAt model.Instant
+	// retryAt is when a task that was put off is sent again; zero means that it
+	// was not put off.
+	retryAt model.Instant
 	// hedgeDelay is the time from an attempt to its hedge.
 	hedgeDelay time.Duration
 }
@@ -147,6 +150,7 @@
 	}
 	t.state = state
 	t.hedgeAt = 0
+	t.retryAt = 0
 	r.unsettled--
 }
 
--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -6,7 +6,6 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/query/replica"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -208,7 +207,7 @@
 	if t.state != taskRunning || t.running > 0 {
 		return
 	}
-	if r.mayRepeat(t, m.Status) && s.retry(ctx, r, a.task, a.replica.Domain) {
+	if r.mayRepeat(t, m.Status) && (s.retryElsewhere(ctx, r, a) || s.retryLater(ctx, r, t, m)) {
 		return
 	}
 	if m.Status == message.StatusVersionGone && !r.isOrder() {
@@ -232,27 +231,6 @@
 	return status == message.StatusLost && r.serviceOf(t).config.Policy.Repeatable
 }
 
-// retry sends a task to a replica that it has not been sent to, on the service's
-// budget.
-func (s *State) retry(ctx *step.Context, r *request, index int, failed model.FailureDomain) bool {
-	t := &r.tasks[index]
-	service := r.serviceOf(t)
-	chosen := s.choose(ctx, t.replicas, replica.Wish{Avoid: failed, Tried: r.tried(index)})
-	if chosen == nil {
-		return false
-	}
-	if !service.stats.retries.Take() {
-		ctx.Count(metricRetriesDenied, "no_budget")
-		return false
-	}
-	if !s.send(ctx, r, index, chosen, retryAttempt) {
-		service.stats.retries.Refund()
-		return false
-	}
-	ctx.Count(metricRetries, "")
-	return true
-}
-
 // noteReason remembers why the last attempt was refused.
 func (r *request) noteReason(reason model.Code, retryAfter time.Duration) {
 	if reason != "" && r.reason != model.CodeQuarantined {
--- a/internal/reducer/query/timing.go
+++ b/internal/reducer/query/timing.go
@@ -12,7 +12,7 @@
 // leastRetryAfter is the shortest pause that a caller is asked for.
 const leastRetryAfter = 10 * time.Millisecond
 
-// HandleTimer handles hedge times, answer-by times and deadlines. A request has
+// HandleTimer handles retry and hedge times, answer-by times and deadlines. A request has
 // one pending timer; earlier ones that were replaced are ignored.
 func (s *State) HandleTimer(ctx *step.Context, id uint64) {
 	r, ok := s.requests[id]
@@ -21,13 +21,14 @@
 	}
 	s.sync(ctx)
 	r.wakeAt = 0
+	s.sendRetries(ctx, r)
 	s.sendHedges(ctx, r)
 	s.progress(ctx, r)
 }
 
 // arm sets the timer for the next moment at which the request needs attention,
-// unless one is pending: only a started task or a withdrawal can need it earlier,
-// and those clear wakeAt.
+// unless one is pending. Whatever brings a moment forward clears wakeAt: a started
+// task, one that is put off, a withdrawal.
 func (s *State) arm(ctx *step.Context, r *request) {
 	if r.wakeAt != 0 {
 		return
@@ -37,8 +38,12 @@
 		next = min(next, r.answerBy)
 	}
 	for i := range r.tasks {
-		if at := r.tasks[i].hedgeAt; at > 0 {
-			next = min(next, at)
+		t := &r.tasks[i]
+		if t.hedgeAt > 0 {
+			next = min(next, t.hedgeAt)
+		}
+		if t.retryAt > 0 {
+			next = min(next, t.retryAt)
 		}
 	}
 	r.wakeAt = next
--- a/internal/reducer/show/explain.go
+++ b/internal/reducer/show/explain.go
@@ -63,7 +63,7 @@
 		return []string{"snapshot", "none", "no upstream has reported a version that it holds"}
 	}
 	total := len(explanation.Shards) + explanation.Omitted
-	reason := fmt.Sprintf("newest version of greatest coverage: %d of %d shards can be searched", explanation.Searchable, total)
+	reason := fmt.Sprintf("newest widely held version of the greatest coverage: %d of %d shards can be searched", explanation.Searchable, total)
 	return []string{"snapshot", strconv.FormatUint(uint64(explanation.Version), 10), reason}
 }
 
