Takeover waits for the previous dispatcher's work; cancelled work is not requeued

Cause: a new dispatcher could send into slots that the previous one still used for work in flight beyond its half; a job that was cancelled, or a hedge, went back to the queue when its connection ended before the write. Change: a new dispatcher sends nothing until the upstream's status tells what others have in flight, 100 ms at most; requeued jobs that are cancelled are taken back and hedges refused.

--- a/internal/reducer/dispatch/connection.go
+++ b/internal/reducer/dispatch/connection.go
@@ -6,6 +6,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
@@ -196,13 +197,26 @@
 		s.lose(ctx, j, c.state != ending && !e.Mismatch)
 		return
 	}
-	ctx.Count(metricRequeued, "")
+	s.requeue(ctx, j)
+}
+
+// requeue takes in that a sent job was not written after all. It goes back to the
+// queue, unless its coordinator has no more use for it or it must not wait.
+func (s *State) requeue(ctx *step.Context, j *job) {
+	l := j.lane
 	l.removeInFlight(j)
 	j.connection = nil
 	j.alone = false
-	l.push(j)
-	if !l.serves(ctx.Now) {
-		s.refuseQueued(ctx, l, notOwner())
+	switch {
+	case j.cancelled:
+		s.finish(ctx, j, message.DispatchResult{Status: message.StatusTakenBack, Reason: model.CodeCancelled})
+	case j.request.Hedge:
+		s.finish(ctx, j, *refused(model.CodeOverloaded))
+	case !l.serves(ctx.Now):
+		s.finish(ctx, j, notOwner())
+	default:
+		ctx.Count(metricRequeued, "")
+		l.push(j)
 	}
 }
 
--- a/internal/reducer/dispatch/dispatch_test.go
+++ b/internal/reducer/dispatch/dispatch_test.go
@@ -103,6 +103,91 @@
 	}
 }
 
+func TestUnwrittenWorkThatWasCancelledIsTakenBack(t *testing.T) {
+	b := ready(t, 1)
+	attempt := b.dispatch(nil)
+	sent := b.sent()
+	b.step(func(ctx *step.Context) {
+		b.state.HandleCancel(ctx, coordinator, message.Cancel{Attempt: attempt})
+	})
+	b.closed(event.ConnectionClosed{Connection: sent.Connection, Attempt: attempt})
+	if got := b.result(); got.Status != message.StatusTakenBack {
+		t.Errorf("result = %+v, want taken back", got)
+	}
+	if len(b.sentAttempts()) != 0 {
+		t.Error("cancelled work was sent again")
+	}
+}
+
+func TestUnwrittenHedgeIsNotQueued(t *testing.T) {
+	b := ready(t, 1)
+	b.dispatch(func(m *message.Dispatch) { m.Hedge = true })
+	b.closed(event.ConnectionClosed{Connection: b.sent().Connection})
+	if got := b.result(); got.Status != message.StatusRefused {
+		t.Errorf("result = %+v, want refused", got)
+	}
+}
+
+func TestTakeoverWaitsForWhatThePreviousDispatcherHasInFlight(t *testing.T) {
+	b := newBench(t, 2)
+	b.placement.hosts = []model.HostID{coordinator}
+	b.configure()
+	b.placement.hosts = []model.HostID{self}
+	b.configure()
+	b.reported = 2
+	b.connect()
+	b.dispatch(nil)
+	if len(b.sentAttempts()) != 0 {
+		t.Fatal("sent while the previous dispatcher uses all slots")
+	}
+	b.reported = 1
+	b.advance(takeoverRetry)
+	b.connect()
+	if got := b.state.byUpstream[upstreamA].inFlight; len(got) != 1 {
+		t.Fatalf("%d in flight beside one of the previous dispatcher, want 1", len(got))
+	}
+}
+
+func TestTakeoverDoesNotWaitForAStatusForever(t *testing.T) {
+	b := newBench(t, 2)
+	b.placement.hosts = []model.HostID{coordinator}
+	b.configure()
+	b.placement.hosts = []model.HostID{self}
+	b.configure()
+	b.reported = 100
+	b.connect()
+	b.dispatch(nil)
+	b.advance(takeoverWait)
+	b.connect()
+	if got := b.state.byUpstream[upstreamA].inFlight; len(got) != 1 {
+		t.Errorf("%d in flight though the wait is over, want 1", len(got))
+	}
+}
+
+// TestHandoverNeverExceedsTheSlots gives an upstream from one dispatcher to
+// another while both are flooded.
+func TestHandoverNeverExceedsTheSlots(t *testing.T) {
+	for slots := 1; slots <= 5; slots++ {
+		old, heir := ready(t, slots), newBench(t, slots)
+		heir.placement.hosts = []model.HostID{coordinator}
+		heir.configure()
+		old.placement.hosts = []model.HostID{coordinator}
+		old.configure()
+		heir.placement.hosts = []model.HostID{self}
+		heir.configure()
+		heir.connect()
+		for range 2 * slots {
+			old.dispatch(nil)
+			heir.dispatch(nil)
+			heir.state.byUpstream[upstreamA].limit.Answered(heir.now)
+		}
+		got := len(old.state.byUpstream[upstreamA].inFlight) + len(heir.state.byUpstream[upstreamA].inFlight)
+		if got > slots {
+			t.Errorf("%d in flight on %d slots", got, slots)
+		}
+	}
+}
+
 func TestRefusesWhatCannotMakeItsDeadline(t *testing.T) {
 	b := newBench(t, 1)
 	b.configure()
--- a/internal/reducer/dispatch/harness_test.go
+++ b/internal/reducer/dispatch/harness_test.go
@@ -56,6 +56,8 @@
 	random    *rand.Rand
 	effects   []effect.Effect
 	attempts  uint64
+	// reported is the load that the upstream reports.
+	reported int
 }
 
 // newBench returns a dispatcher of one upstream with the given slots.
@@ -136,7 +138,7 @@
 			pending = append(pending, b.effects...)
 		case effect.ReadUpstreamStatus:
 			b.step(func(ctx *step.Context) {
-				b.state.HandleStatus(ctx, event.UpstreamStatusRead{Connection: e.Connection})
+				b.state.HandleStatus(ctx, event.UpstreamStatusRead{Connection: e.Connection, InFlight: b.reported})
 			})
 			pending = append(pending, b.effects...)
 		}
--- a/internal/reducer/dispatch/limit/limit.go
+++ b/internal/reducer/dispatch/limit/limit.go
@@ -88,13 +88,16 @@
 }
 
 // Hold keeps the limit at the given slots for a while, because another node may
-// still use the rest.
+// still use the rest. Zero slots stop new requests.
 func (l *Limit) Hold(slots int, now model.Instant, d time.Duration) {
-	l.held = max(lowest, slots)
+	l.held = slots
 	l.heldFrom = now
 	l.heldUntil = now.Add(d)
 }
 
+// SetHeld changes the slots of a hold.
+func (l *Limit) SetHeld(slots int) { l.held = slots }
+
 // EndHold ends a hold before its time.
 func (l *Limit) EndHold() { l.heldUntil = 0 }
 
--- a/internal/reducer/dispatch/ownership.go
+++ b/internal/reducer/dispatch/ownership.go
@@ -15,6 +15,11 @@
 	// takeoverHold is how long a new dispatcher leaves half of its slots to the
 	// previous one, which may not know yet that it is not one any more.
 	takeoverHold = 500 * time.Millisecond
+	// takeoverWait is how long a new dispatcher waits at most for the previous one
+	// to finish what it had in flight beyond its half, and takeoverRetry the time
+	// between two looks at the upstream's status meanwhile.
+	takeoverWait  = 100 * time.Millisecond
+	takeoverRetry = 10 * time.Millisecond
 	// retirement is how long a previous dispatcher goes on with the other half,
 	// for coordinators that do not know the new one yet.
 	retirement = 250 * time.Millisecond
@@ -86,20 +91,50 @@
 	s.proceed(ctx, l)
 }
 
-// holdSlots leaves half of the slots to the previous dispatcher for a while.
+// holdSlots sends nothing after a takeover until the upstream's status tells what
+// the previous dispatcher has in flight, and leaves half of the slots to it for a
+// while.
 func (s *State) holdSlots(ctx *step.Context, l *lane) {
-	l.limit.Hold(l.slots-l.slots/2, ctx.Now, takeoverHold)
+	l.limit.Hold(0, ctx.Now, takeoverHold)
+	l.status.due = true
+	l.setTimer(ctx, takeoverWait, takeoverTimer)
 	l.setTimer(ctx, takeoverProbe, takeoverTimer)
 	l.setTimer(ctx, takeoverHold, takeoverTimer)
 }
 
-// endHoldIfUnused ends a takeover hold when the upstream reports no work but
-// this node's. The report of the first moments does not count, because the
-// previous dispatcher may only just be learning of the change.
-func (s *State) endHoldIfUnused(ctx *step.Context, l *lane) {
-	if l.limit.HeldSince(ctx.Now) >= takeoverProbe && l.status.inFlight <= len(l.inFlight) {
+// heirSlots is the part of the slots that a new dispatcher uses during a takeover,
+// and the rest is the previous one's.
+func (l *lane) heirSlots() int { return l.slots - l.slots/2 }
+
+// adjustHold follows what the upstream reports of others' work during a takeover.
+// The hold ends early when there is none; the report of the first moments does
+// not suffice for that, because the previous dispatcher may only just be learning
+// of the change.
+func (s *State) adjustHold(ctx *step.Context, l *lane) {
+	if !l.owner || !l.limit.IsHeld(ctx.Now) {
+		return
+	}
+	others := max(0, l.status.inFlight-len(l.inFlight))
+	held := l.limit.HeldSince(ctx.Now)
+	switch {
+	case others == 0 && held >= takeoverProbe:
 		l.limit.EndHold()
+	case others <= l.slots/2 || held >= takeoverWait:
+		l.limit.SetHeld(l.heirSlots())
+	default:
+		l.limit.SetHeld(max(0, l.slots-others))
+		l.setTimer(ctx, takeoverRetry, takeoverTimer)
+	}
+}
+
+// handleTakeoverTimer looks at the upstream's status again. A status that does
+// not come does not hold a takeover up for longer than takeoverWait.
+func (s *State) handleTakeoverTimer(ctx *step.Context, l *lane) {
+	l.status.due = true
+	if l.owner && l.limit.HeldSince(ctx.Now) >= takeoverWait {
+		l.limit.SetHeld(l.heirSlots())
 	}
+	s.pump(ctx, l)
 }
 
 // addLane adds a lane for an upstream.
--- a/internal/reducer/dispatch/schedule.go
+++ b/internal/reducer/dispatch/schedule.go
@@ -100,6 +100,7 @@
 	l := j.lane
 	l.queue.Remove(&j.waiting)
 	l.removeInFlight(j)
+	j.connection = nil
 	delete(s.jobs, j.request.Attempt)
 	if result.Status == message.StatusRefused {
 		ctx.Count(metricRefused, string(result.Reason))
--- a/internal/reducer/dispatch/status.go
+++ b/internal/reducer/dispatch/status.go
@@ -111,7 +111,7 @@
 	l.status.holdings = e.Holdings
 	l.status.inFlight = e.InFlight
 	s.observeDraining(ctx, l, e.Draining)
-	s.endHoldIfUnused(ctx, l)
+	s.adjustHold(ctx, l)
 	s.proceed(ctx, l)
 }
 
--- a/internal/reducer/dispatch/timers.go
+++ b/internal/reducer/dispatch/timers.go
@@ -86,8 +86,7 @@
 			s.disown(ctx, l)
 		}
 	case takeoverTimer:
-		l.status.due = true
-		s.pump(ctx, l)
+		s.handleTakeoverTimer(ctx, l)
 	}
 }
 
