Show: convictions on evidence, and the dispatcher's part of explain

Cause: show convictions had the operators' own only; explain told nothing of the learned limits. Change: both come from the parts' descriptions through narrow interfaces. Conclusion: go test ./internal/reducer/show covers visibility by user.

--- a/internal/reducer/show/explain.go
+++ b/internal/reducer/show/explain.go
@@ -22,7 +22,10 @@
 	if failure != nil {
 		return failure
 	}
-	result.Tables = append(result.Tables, decisions(q, service, &explanation), replicas(&explanation))
+	result.Tables = append(result.Tables, a.decisions(q, service, &explanation), replicas(&explanation))
+	if lanes := a.lanes(q, name); len(lanes.Rows) > 0 {
+		result.Tables = append(result.Tables, lanes)
+	}
 	if explanation.Omitted > 0 {
 		result.Text += fmt.Sprintf("%d shards more are not listed\n", explanation.Omitted)
 	}
@@ -30,7 +33,7 @@
 }
 
 // decisions lists what would be decided, with the reason.
-func decisions(q *asked, service *model.Service, explanation *query.Explanation) model.Table {
+func (a *Answerer) decisions(q *asked, service *model.Service, explanation *query.Explanation) model.Table {
 	return model.Table{Columns: []string{"decision", "now", "reason"}, Rows: [][]string{
 		takeOn(q, service),
 		pin(explanation),
@@ -38,7 +41,7 @@
 		fail(service),
 		hedge(service, explanation),
 		retry(service, explanation),
-		convictions(q, service),
+		a.refused(q, service),
 	}}
 }
 
@@ -112,16 +115,42 @@
 	return []string{"retry", "yes", reason}
 }
 
-// convictions counts the contents that operators have convicted.
-func convictions(q *asked, service *model.Service) []string {
-	count := 0
+// refused counts the contents that are refused.
+func (a *Answerer) refused(q *asked, service *model.Service) []string {
+	byOperators, onEvidence := 0, 0
 	for _, conviction := range q.visible.Convictions {
 		lapsed := conviction.Until != 0 && conviction.Until.Before(q.Now)
 		if conviction.Service == service.Name && !lapsed {
-			count++
+			byOperators++
+		}
+	}
+	for _, conviction := range a.parts.Quarantine.Describe(q.Now).Convictions {
+		if conviction.Service == service.Name {
+			onEvidence++
 		}
 	}
-	return []string{"refuse contents", strconv.Itoa(count), "convicted by operators"}
+	reason := fmt.Sprintf("%d convicted by operators, %d on evidence of crashes", byOperators, onEvidence)
+	return []string{"refuse contents", strconv.Itoa(byOperators + onEvidence), reason}
+}
+
+// lanes lists the service's upstreams that this node dispatches for, with the
+// limits it has learned.
+func (a *Answerer) lanes(q *asked, name model.ServiceName) model.Table {
+	table := model.Table{
+		Columns: []string{"upstream", "role", "slots", "limit", "limit_reason", "in_flight", "queued", "connections", "max_connections", "reachable", "draining_by", "status_age"},
+		Rows:    [][]string{},
+	}
+	for _, lane := range a.parts.Dispatcher.Describe(q.Now).Upstreams {
+		if lane.Upstream.Service() != name {
+			continue
+		}
+		table.Rows = append(table.Rows, []string{
+			string(lane.Upstream), lane.Role, strconv.Itoa(lane.Slots), strconv.Itoa(lane.Limit), fmt.Sprint(lane.LimitReason),
+			strconv.Itoa(lane.InFlight), strconv.Itoa(lane.Queued), strconv.Itoa(lane.Open), strconv.Itoa(lane.MaxConnections),
+			yesNo(lane.Reachable), lane.DrainingBy, age(lane.StatusAge),
+		})
+	}
+	return table
 }
 
 // replicas lists the replicas of each shard with the verdict on them.
--- a/internal/reducer/show/live.go
+++ b/internal/reducer/show/live.go
@@ -44,6 +44,26 @@
 	return table
 }
 
+// convictions lists the contents that are refused: by statement of an operator,
+// or on the nodes' own evidence.
+func (a *Answerer) convictions(q *asked, pattern statement.Pattern) model.Table {
+	table := statement.ConvictionTable(q.visible, pattern)
+	table.Columns = append(table.Columns, "source", "crashes")
+	for i := range table.Rows {
+		table.Rows[i] = append(table.Rows[i], "operator", "")
+	}
+	for _, conviction := range a.parts.Quarantine.Describe(q.Now).Convictions {
+		if q.visible.Service(conviction.Service) == nil || !pattern.Match(string(conviction.Service)) {
+			continue
+		}
+		until := statement.Time(q.Now.Add(conviction.Left)).String()
+		table.Rows = append(table.Rows, []string{
+			string(conviction.Service), conviction.Fingerprint, until, "evidence", strconv.Itoa(conviction.Crashes),
+		})
+	}
+	return table
+}
+
 // budgets lists the hedges and retries that this node may still make, with the
 // recent latencies that hedges go by.
 func (a *Answerer) budgets(q *asked, pattern statement.Pattern) model.Table {
--- a/internal/reducer/show/show.go
+++ b/internal/reducer/show/show.go
@@ -7,7 +7,9 @@
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/membership"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -35,11 +37,23 @@
 	Describe(now model.Instant) session.Description
 }
 
+// Quarantine describes the contents that crash upstreams.
+type Quarantine interface {
+	Describe(now model.Instant) quarantine.Description
+}
+
+// Dispatcher describes this node's connections to upstreams.
+type Dispatcher interface {
+	Describe(now model.Instant) dispatch.Description
+}
+
 // Parts are the parts that answers come from.
 type Parts struct {
 	Log         Log
 	Coordinator Coordinator
 	Sessions    Sessions
+	Quarantine  Quarantine
+	Dispatcher  Dispatcher
 }
 
 // Answerer answers questions from the parts.
@@ -122,7 +136,7 @@
 	case statement.Limits:
 		return statement.LimitTable(q.visible, pattern), nil
 	case statement.Convictions:
-		return statement.ConvictionTable(q.visible, pattern), nil
+		return a.convictions(q, pattern), nil
 	default:
 		return a.liveTable(q, show)
 	}
--- a/internal/reducer/show/show_test.go
+++ b/internal/reducer/show/show_test.go
@@ -8,7 +8,9 @@
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/membership"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -56,6 +58,22 @@
 	return query.Explanation{Service: name, Version: 7, Searchable: 1, Shards: make([]query.ShardExplanation, 2)}, nil
 }
 
+// fakeQuarantine holds one conviction of each service.
+type fakeQuarantine struct{}
+
+func (fakeQuarantine) Describe(model.Instant) quarantine.Description {
+	return quarantine.Description{Convictions: []quarantine.ConvictionDescription{
+		{Service: "one", Fingerprint: "0f", Crashes: 2}, {Service: "two", Fingerprint: "0e"},
+	}}
+}
+
+// fakeDispatcher dispatches for one upstream.
+type fakeDispatcher struct{}
+
+func (fakeDispatcher) Describe(model.Instant) dispatch.Description {
+	return dispatch.Description{Upstreams: []dispatch.UpstreamDescription{{Upstream: "one/u"}}}
+}
+
 // ask asks as an operator.
 func ask(t *testing.T, operator model.OperatorName, text string) effect.StatementResult {
 	t.Helper()
@@ -63,7 +81,7 @@
 	if failure != nil {
 		t.Fatal(failure)
 	}
-	answerer := New(Parts{Log: fakeParts{}, Coordinator: fakeCoordinator{}, Sessions: fakeParts{}})
+	answerer := New(Parts{Log: fakeParts{}, Coordinator: fakeCoordinator{}, Sessions: fakeParts{}, Quarantine: fakeQuarantine{}, Dispatcher: fakeDispatcher{}})
 	ctx := &step.Context{Now: 1 << 60, Self: model.Member{Host: "h1", State: model.Leaving}, Config: &model.Config{
 		Revision:  3,
 		Users:     []model.User{{ID: "a"}, {ID: "b"}},
@@ -117,7 +135,9 @@
 		{"root", "show change c9", "outcome", "not_known"},
 		{"anna", "show budgets", "hedge_tokens", "1.5"},
 		{"root", "show sessions", "sessions", "2"},
-		{"root", "explain one", "now", "no|7|at the latest after 0s|after 0s|no|no|0"},
+		{"root", "explain one", "now", "no|7|at the latest after 0s|after 0s|no|no|1"},
+		{"anna", "show convictions", "fingerprint", "0f"},
+		{"root", "show convictions", "source", "evidence|evidence"},
 	} {
 		if got := cells(t, ask(t, c.operator, c.text), c.column); got != c.want {
 			t.Errorf("%s asks %q: %s is %s, want %s", c.operator, c.text, c.column, got, c.want)
--- a/internal/statement/apply_test.go
+++ b/internal/statement/apply_test.go
@@ -186,6 +186,16 @@
 	}
 }
 
+func TestAPardonIsKeptForTheNodes(t *testing.T) {
+	config := mustApply(t, &model.Config{}, base+"convict one fingerprint ff")
+	config.Revision = 7
+	config = mustApply(t, config, "pardon one fingerprint ff; pardon two fingerprint 1; pardon one fingerprint ff")
+	want := []model.Pardon{{Service: "two", Fingerprint: 1, Revision: 8}, {Service: "one", Fingerprint: 0xff, Revision: 8}}
+	if len(config.Convictions) != 0 || !reflect.DeepEqual(config.Pardons, want) {
+		t.Errorf("convictions %v, pardons %v; want none and %v", config.Convictions, config.Pardons, want)
+	}
+}
+
 func TestDiffShowsTheChangedLines(t *testing.T) {
 	config := mustApply(t, &model.Config{}, base)
 	after := mustApply(t, config, "alter service one set rate 5; drain upstream one/v; drop service two; create user c")
