--- a/internal/reducer/query/describe.go
+++ b/internal/reducer/query/describe.go
@@ -167,7 +167,7 @@
 	}
 	policy := &service.Policy
 	stats := s.statsOf(name)
-	pin := s.parts.Catalog.Pin(ctx, []*model.Service{service})
+	pin := s.parts.Catalog.Pin(ctx, []*model.Service{service}, s.settings.Preference)
 	explanation := Explanation{
 		Service:     name,
 		Version:     pin.Version(),
--- a/internal/reducer/snapshot/index.go
+++ b/internal/reducer/snapshot/index.go
@@ -99,3 +99,30 @@
 	}
 	return keys
 }
+
+// leastHolders returns the number of usable holders of the least held shard.
+func (v *versionIndex) leastHolders() int {
+	least := -1
+	for _, holders := range v.holders {
+		usable := 0
+		for _, r := range holders {
+			if r.Usable() {
+				usable++
+			}
+		}
+		if least < 0 || usable < least {
+			least = usable
+		}
+	}
+	return max(least, 0)
+}
+
+// widest returns the most usable holders that the least held shard has in any
+// version.
+func (s *service) widest() int {
+	widest := 0
+	for i := range s.versions {
+		widest = max(widest, s.versions[i].leastHolders())
+	}
+	return widest
+}
