Client of the administration API shared by ctl and dump, with keys and TLS

Cause: dump could not present an operator's key, nor could ctl use TLS. Change: one group of settings and one client for both.

--- a/cmd/hawthorntack/ctl.go
+++ b/cmd/hawthorntack/ctl.go
@@ -20,17 +20,14 @@
 type ctlCommand struct {
 	std streams
 
-	Admin      string        `long:"admin" env:"HAWTHORNTACK_ADMIN" value-name:"HOST:PORT" default:"127.0.0.1:7002" description:"administration address of any node"`
-	Statements string        `short:"e" long:"execute" env:"HAWTHORNTACK_EXECUTE" value-name:"TEXT" description:"statements to run"`
-	File       string        `short:"f" long:"file" env:"HAWTHORNTACK_FILE" value-name:"FILE" description:"file of statements to run; - is standard input"`
-	Output     string        `short:"o" long:"output" env:"HAWTHORNTACK_OUTPUT" choice:"table" choice:"json" default:"table" description:"form of the output"`
-	DryRun     bool          `long:"dry-run" env:"HAWTHORNTACK_DRY_RUN" description:"show the difference that the statements would make, and change nothing"`
-	Change     string        `long:"change-id" env:"HAWTHORNTACK_CHANGE_ID" value-name:"ID" description:"identifier of the change; made up when empty"`
-	Operator   string        `long:"operator" env:"HAWTHORNTACK_OPERATOR" value-name:"NAME" description:"name of the operator"`
-	KeyFile    string        `long:"key-file" env:"HAWTHORNTACK_KEY_FILE" value-name:"FILE" description:"file that holds the operator's key"`
-	CA         string        `long:"tls-ca" env:"HAWTHORNTACK_CTL_TLS_CA" value-name:"FILE" description:"certificates of the authority that signed the node's certificate; use TLS"`
-	Timeout    time.Duration `long:"timeout" env:"HAWTHORNTACK_TIMEOUT" default:"30s" description:"how long to wait for a reply"`
-	NewKey     bool          `long:"new-key" description:"print a new operator key and its hash, and do nothing else"`
+	adminSettings
+	Statements string        `short:"e" long:"execute" env:"HAWTHORNTACK_EXECUTE" value-name:"TEXT" description:"Statements to run"`
+	File       string        `short:"f" long:"file" env:"HAWTHORNTACK_FILE" value-name:"FILE" description:"File of statements to run; - is standard input"`
+	Output     string        `short:"o" long:"output" env:"HAWTHORNTACK_OUTPUT" choice:"table" choice:"json" default:"table" description:"Form of the output"`
+	DryRun     bool          `long:"dry-run" env:"HAWTHORNTACK_DRY_RUN" description:"Show the difference that the statements would make, and change nothing"`
+	Change     string        `long:"change-id" env:"HAWTHORNTACK_CHANGE_ID" value-name:"ID" description:"Identifier of the change; made up when empty"`
+	Timeout    time.Duration `long:"timeout" env:"HAWTHORNTACK_TIMEOUT" default:"30s" description:"How long to wait for a reply"`
+	NewKey     bool          `long:"new-key" description:"Print a new operator key and its hash, and do nothing else"`
 }
 
 // addCtl adds the ctl subcommand.
@@ -53,10 +50,11 @@
 	if c.NewKey {
 		return printNewKey(c.std.out)
 	}
-	client, err := c.client()
+	admin, err := c.client()
 	if err != nil {
 		return err
 	}
+	client := &ctlClient{admin}
 	if c.isInteractive() {
 		return c.prompt(client)
 	}
--- a/cmd/hawthorntack/ctl_client.go
+++ b/cmd/hawthorntack/ctl_client.go
@@ -12,8 +12,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/api"
@@ -25,30 +23,9 @@
 // maxReply bounds a reply of the administration API, in bytes.
 const maxReply = 64 << 20
 
-// ctlClient calls the administration API of one node.
+// ctlClient runs statements on one node.
 type ctlClient struct {
-	base          url.URL
-	authorization string
-	http          *http.Client
-}
-
-// client returns a client for the command's settings.
-func (c *ctlCommand) client() (*ctlClient, error) {
-	if !strings.Contains(c.Admin, ":") {
-		return nil, &UsageError{Setting: "--admin", Reason: "must be HOST:PORT"}
-	}
-	client := &ctlClient{base: url.URL{Scheme: "http", Host: c.Admin}, http: &http.Client{}}
-	if (c.Operator == "") != (c.KeyFile == "") {
-		return nil, &UsageError{Setting: "--operator", Reason: "must be used together with --key-file"}
-	}
-	if c.Operator != "" {
-		key, err := readFile(c.KeyFile)
-		if err != nil {
-			return nil, err
-		}
-		client.authorization = "Bearer " + c.Operator + ":" + strings.TrimSpace(key)
-	}
-	return client, nil
+	*adminClient
 }
 
 // run runs a text. A change whose reply does not come is unknown, not failed.
@@ -72,15 +49,11 @@
 // post sends a body and decodes the reply. It reports whether the node may have
 // got the body.
 func (c *ctlClient) post(ctx context.Context, body []byte) (reply api.StatementReply, sent bool, err error) {
-	target := c.base.JoinPath("/v1/admin/statements")
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
+	request, err := c.request(ctx, http.MethodPost, "/v1/admin/statements", bytes.NewReader(body))
 	if err != nil {
-		return reply, false, fmt.Errorf("call %s: %w", c.base.Host, err)
+		return reply, false, err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	if c.authorization != "" {
-		request.Header.Set("Authorization", c.authorization)
-	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return reply, !isDialError(err), fmt.Errorf("call %s: %w", c.base.Host, err)
--- a/cmd/hawthorntack/dump.go
+++ b/cmd/hawthorntack/dump.go
@@ -19,7 +19,7 @@
 type dumpCommand struct {
 	std streams
 
-	Admin string `long:"admin" env:"HAWTHORNTACK_ADMIN" required:"yes" description:"Administration address of the node"`
+	adminSettings
 }
 
 // addDump adds the dump subcommand.
@@ -39,16 +39,17 @@
 
 // Execute implements flags.Commander.
 func (c *dumpCommand) Execute([]string) error {
-	if err := checkAddress("--admin", c.Admin); err != nil {
+	client, err := c.client()
+	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Admin+"/v1/admin/state", nil)
+	request, err := client.request(ctx, http.MethodGet, "/v1/admin/state", nil)
 	if err != nil {
-		return fmt.Errorf("state dump: %w", err)
+		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.http.Do(request)
 	if err != nil {
 		return fmt.Errorf("state dump: %w", err)
 	}
