--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -32,7 +33,9 @@
 		Dir:   "testdata/script",
 		Setup: setFreePorts,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"waitfor": waitFor,
+			"waitfor":   waitFor,
+			"startdemo": startDemo,
+			"page":      runPage,
 		},
 	})
 }
@@ -50,6 +53,11 @@
 		defer listener.Close()
 		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), listener.Addr().String())
 	}
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		return err
+	}
+	env.Setenv("ROOT", root)
 	return nil
 }
 
--- a/internal/statement/apply.go
+++ b/internal/statement/apply.go
@@ -34,6 +34,8 @@
 	// touched holds the place of the last statement that changed a service; the
 	// upstreams of a touched service are a copy.
 	touched map[model.ServiceName]Position
+	// upstreams holds the place of the last statement that changed an upstream.
+	upstreams map[model.UpstreamID]Position
 	// position is the place of the statement under way.
 	position Position
 	problems []*Problem
@@ -47,7 +49,7 @@
 	copied.Operators = slices.Clone(config.Operators)
 	copied.Convictions = slices.Clone(config.Convictions)
 	copied.LeavingHosts = slices.Clone(config.LeavingHosts)
-	return &editor{config: &copied, touched: make(map[model.ServiceName]Position)}
+	return &editor{config: &copied, touched: make(map[model.ServiceName]Position), upstreams: make(map[model.UpstreamID]Position)}
 }
 
 // fail notes a problem at the statement under way.
--- a/internal/statement/apply_service.go
+++ b/internal/statement/apply_service.go
@@ -43,11 +43,13 @@
 	service := model.Service{Name: name, User: model.UserID(c.User), Policy: model.DefaultPolicy()}
 	setPolicy(&service.Policy, c.Options)
 	e.config.Services = slices.Insert(e.config.Services, i, service)
-	e.touched[name] = e.position
+	place := e.position
+	e.touched[name] = place
 	for _, upstream := range c.Upstreams {
 		e.at(upstream.Pos)
 		e.addUpstream(name, model.UpstreamID(string(name)+"/"+string(upstream.Name)), upstream.Options)
 	}
+	e.touched[name] = place
 }
 
 // alterService changes the matching services.
@@ -169,6 +171,7 @@
 		return
 	}
 	upstream := model.Upstream{ID: id}
+	e.upstreams[id] = e.position
 	setUpstream(&upstream, options)
 	e.checkUpstream(&upstream)
 	service.Upstreams = slices.Insert(service.Upstreams, i, upstream)
@@ -209,6 +212,7 @@
 	e.at(c.Pos)
 	for _, id := range e.matchUpstreams(c.Pattern, c.Where) {
 		setUpstream(e.touch(id.Service()).Upstream(id), c.Options)
+		e.upstreams[id] = e.position
 	}
 }
 
--- a/internal/statement/lexer.go
+++ b/internal/statement/lexer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2/lexer"
 )
@@ -76,7 +77,7 @@
 		starts := first && token.Type == tokenWord && isStarter(token.Value)
 		ends := token.EOF() || token.Type == tokenSemicolon || starts
 		if ends && len(current) > 0 {
-			statements = append(statements, append(current, lexer.EOFToken(token.Pos)))
+			statements = append(statements, append(current, lexer.EOFToken(behind(current[len(current)-1]))))
 			current = nil
 		}
 		if !token.EOF() && token.Type != tokenSemicolon {
@@ -86,6 +87,14 @@
 	return statements, nil
 }
 
+// behind returns the place behind a token.
+func behind(token lexer.Token) lexer.Position {
+	place := token.Pos
+	place.Offset += len(token.Value)
+	place.Column += utf8.RuneCountInString(token.Value)
+	return place
+}
+
 // tokenList is a lexer over tokens that were read before.
 type tokenList struct {
 	tokens []lexer.Token
--- a/internal/statement/validate.go
+++ b/internal/statement/validate.go
@@ -97,11 +97,15 @@
 
 // validateUpstream notes what is wrong with an upstream.
 func (e *editor) validateUpstream(upstream *model.Upstream) {
+	place, changed := e.upstreams[upstream.ID]
+	if !changed {
+		place = e.position
+	}
 	if upstream.Slots < 1 {
-		e.fail(RuleSlots, "upstream %s: slots must be at least 1", upstream.ID)
+		e.failAt(place, RuleSlots, "upstream %s: slots must be at least 1", upstream.ID)
 	}
 	if upstream.Slots > upstream.Connections {
-		e.fail(RuleSlots, "upstream %s: %d slots are over its %d connections", upstream.ID, upstream.Slots, upstream.Connections)
+		e.failAt(place, RuleSlots, "upstream %s: %d slots are over its %d connections", upstream.ID, upstream.Slots, upstream.Connections)
 	}
 }
 
@@ -144,7 +148,10 @@
 
 // failDuplicate notes a shared address at the statement that brought it in.
 func (e *editor) failDuplicate(holder model.UpstreamID, upstream *model.Upstream) {
-	place := e.touched[holder.Service()]
+	place, changed := e.upstreams[upstream.ID]
+	if !changed {
+		place = e.upstreams[holder]
+	}
 	e.failAt(place, RuleDuplicateAddress, "upstreams %s and %s have the same address %s", holder, upstream.ID, upstream.Address)
 }
 
