--- a/cmd/hawthorntack/operators_page_test.go
+++ b/cmd/hawthorntack/operators_page_test.go
@@ -9,14 +9,19 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hawthorntack/hawthorntack/internal/demo"
 	"github.com/hawthorntack/hawthorntack/internal/deployment"
+	"github.com/hawthorntack/hawthorntack/internal/reducer"
 )
 
+// demoEntryTTL keeps the planned stop at the end of a script short.
+const demoEntryTTL = 200 * time.Millisecond
+
 // startDemo starts the nodes and stand-ins of "hawthorntack demo" and lets ctl
 // and dump call the first node: "startdemo".
 func startDemo(ts *testscript.TestScript, _ bool, _ []string) {
@@ -24,6 +29,7 @@
 	log.SetOutput(io.Discard)
 	running, err := demo.Start(context.Background(), demo.Options{
 		Deployment: deployment.Demo(), Nodes: 4, BodyLimit: "1M", Log: log, Seed: 1,
+		Tune: func(s *reducer.Settings) { s.Entry.TTL = demoEntryTTL },
 	})
 	ts.Check(err)
 	ts.Defer(func() { running.Stop() })
