--- a/internal/reducer/config/cluster_test.go
+++ b/internal/reducer/config/cluster_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/standin/kv"
 	"github.com/hawthorntack/hawthorntack/internal/virtual"
@@ -16,6 +17,8 @@
 type cluster struct {
 	*virtual.World
 	store *virtual.KeyValue
+	// fate decides what happens to a message; nil delivers all.
+	fate func() virtual.Delivery
 }
 
 func newCluster(seed uint64, nodes int) *cluster {
@@ -25,14 +28,22 @@
 // newClusterWith returns a cluster whose nodes see the store through a wrapper.
 func newClusterWith(seed uint64, nodes int, wrap func(*virtual.KeyValue) virtual.Store) *cluster {
 	store := virtual.NewKeyValue(kv.DefaultLimits())
+	c := &cluster{store: store}
 	options := virtual.Options{Seed: seed, Store: wrap(store)}
+	options.Deliver = func(model.HostID, model.HostID, message.Message) virtual.Delivery {
+		if c.fate == nil {
+			return virtual.Delivery{}
+		}
+		return c.fate()
+	}
 	for i := range nodes {
 		options.Hosts = append(options.Hosts, virtual.HostSpec{
 			Host:          model.HostID(fmt.Sprintf("host-%d", i+1)),
 			FailureDomain: model.FailureDomain(fmt.Sprintf("domain-%d", i%3+1)),
 		})
 	}
-	return &cluster{World: virtual.New(options), store: store}
+	c.World = virtual.New(options)
+	return c
 }
 
 // change sends a statement and runs until it is answered.
--- a/internal/reducer/config/race_test.go
+++ b/internal/reducer/config/race_test.go
@@ -166,6 +166,7 @@
 	}
 	r.RunFor(raceTime)
 	r.store.Store.ClearFaults()
+	r.fate = nil
 	for _, host := range r.Hosts() {
 		r.Restart(host)
 	}
@@ -261,6 +262,7 @@
 			Count: rapid.IntRange(0, 5).Draw(t, "count"),
 		})
 	}
+	r.fate = r.lossyNetwork(rapid.IntRange(0, 15).Draw(t, "lost percent"))
 	for range rapid.IntRange(0, 4).Draw(t, "node faults") {
 		host := r.Hosts()[rapid.IntRange(0, 3).Draw(t, "host")]
 		after := time.Duration(rapid.IntRange(2500, 11000).Draw(t, "after")) * time.Millisecond
@@ -269,6 +271,25 @@
 	}
 }
 
+// lossyNetwork loses, delays and doubles a share of the messages between nodes.
+func (r *race) lossyNetwork(percent int) func() virtual.Delivery {
+	return func() virtual.Delivery {
+		if r.random.IntN(100) >= percent {
+			return virtual.Delivery{}
+		}
+		switch r.random.IntN(4) {
+		case 0:
+			return virtual.Delivery{Lost: true}
+		case 1:
+			return virtual.Delivery{Silent: true}
+		case 2:
+			return virtual.Delivery{Delay: time.Duration(r.random.IntN(2000)) * time.Millisecond}
+		default:
+			return virtual.Delivery{Copies: 1}
+		}
+	}
+}
+
 // drawNodeFault pauses, restarts or cuts off a node.
 func (r *race) drawNodeFault(t *rapid.T, host model.HostID, after, length time.Duration) {
 	switch rapid.SampledFrom([]string{"pause", "restart", "cut"}).Draw(t, "fault") {
--- a/internal/reducer/config/sync_test.go
+++ b/internal/reducer/config/sync_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -180,3 +181,35 @@
 		t.Errorf("a new node has revision %d with %d users, want %d", config.Revision, len(config.Users), changes)
 	}
 }
+
+// TestDelayedWriteOfTruncatedRevision lets a write land whose revision was
+// truncated long ago, and wakes a node that stood just before it and can only
+// ask the store.
+func TestDelayedWriteOfTruncatedRevision(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	c.change(t, "host-1", "create user u0")
+	c.RunFor(time.Second)
+	c.cutOff("host-4")
+	c.Pause("host-4", 100*time.Second)
+	const changes = 400
+	for i := 1; i < changes; i++ {
+		c.change(t, "host-1", fmt.Sprintf("create user u%d", i))
+	}
+	c.RunFor(10 * time.Second)
+	late, err := json.Marshal(model.LogEntry{Revision: 2, Change: "late", Text: "create user ghost"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	landed := c.store.Store.Apply(c.Now(), effect.CallStore{
+		Verb: effect.StoreCreate, Key: "config/log/00000000000000000002", Value: late,
+	})
+	if landed.Result.Status != event.StoreOK {
+		t.Fatalf("the late write got %+v; the revision should have been truncated", landed.Result)
+	}
+	c.RunFor(2 * time.Minute)
+	config := c.State("host-4").Config()
+	if config.User("ghost") != nil || config.Revision != changes {
+		t.Errorf("host-4 is at revision %d, ghost: %v; want revision %d without it", config.Revision, config.User("ghost"), changes)
+	}
+}
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -5,6 +5,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
@@ -19,6 +20,8 @@
 	Members  []model.Member `json:"members"`
 	Revision model.Revision `json:"revision"`
 	Config   *model.Config  `json:"config"`
+	// Configuration is where the node stands with the configuration log.
+	Configuration config.Description `json:"configuration"`
 	// KnownUpstreams is the number of upstreams with a report in the catalog.
 	KnownUpstreams int `json:"known_upstreams"`
 	// Dispatch and Admission describe what the node does for upstreams and users.
@@ -47,6 +50,7 @@
 		Revision:       ctx.Config.Revision,
 		Config:         ctx.Config.WithoutKeys(),
 		KnownUpstreams: s.catalog.Len(),
+		Configuration:  s.config.Describe(ctx.Now),
 		Query:          s.query.Describe(ctx),
 		Timers:         s.timers.Len(),
 		InFlight:       s.openRequests(),
