Break ties between replicas by the load that they report

Cause: the load that an upstream reports of itself was not used at all.

Change: reports carry it with its age; it lowers a replica's weight by a tenth at most, and by nothing after 2 s, because it lags or misleads.

--- a/internal/model/index.go
+++ b/internal/model/index.go
@@ -1,5 +1,7 @@
 package model
 
+import "time"
+
 // KeySpace is the size of the key space that partition maps divide: keys run
 // from zero to KeySpace-1.
 const KeySpace = 1 << 16
@@ -35,4 +37,8 @@
 	Queued    int `json:"queued"`
 	// Limit is the learned concurrency limit.
 	Limit int `json:"limit"`
+	// ReportedInFlight is the load that the upstream reports of itself, which may
+	// lag or mislead, and ReportedAge its age when this report was made.
+	ReportedInFlight int           `json:"reported_in_flight"`
+	ReportedAge      time.Duration `json:"reported_age"`
 }
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -144,6 +144,9 @@
 		FreeSlots: int(r.GetFreeSlots()),
 		Queued:    int(r.GetQueued()),
 		Limit:     int(r.GetLimit()),
+
+		ReportedInFlight: int(r.GetReportedInFlight()),
+		ReportedAge:      time.Duration(r.GetReportedAgeNanos()),
 	}
 	for _, h := range r.GetHoldings() {
 		holding := model.Holding{
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -156,6 +156,9 @@
 		FreeSlots: int64(r.FreeSlots),
 		Queued:    int64(r.Queued),
 		Limit:     int64(r.Limit),
+
+		ReportedInFlight: int64(r.ReportedInFlight),
+		ReportedAgeNanos: int64(r.ReportedAge),
 	}
 }
 
--- a/internal/reducer/dispatch/report.go
+++ b/internal/reducer/dispatch/report.go
@@ -30,6 +30,9 @@
 		FreeSlots: l.freeSlots(ctx.Now),
 		Queued:    l.queue.Len(),
 		Limit:     max(1, l.limit.Current(ctx.Now)),
+
+		ReportedInFlight: l.status.inFlight,
+		ReportedAge:      ctx.Now.Sub(l.status.observed),
 	}
 }
 
--- a/internal/reducer/query/replica/rating.go
+++ b/internal/reducer/query/replica/rating.go
@@ -19,6 +19,10 @@
 	Outstanding int `json:"outstanding"`
 	// Latency is the mean of the recent latencies; zero means none observed.
 	Latency time.Duration `json:"latency"`
+	// Reported is the load that the upstream reports of itself and ReportAge its
+	// age; it only breaks ties.
+	Reported  int           `json:"reported"`
+	ReportAge time.Duration `json:"report_age"`
 	// CountAge is the age of the dispatcher's count.
 	CountAge time.Duration `json:"count_age"`
 }
@@ -40,6 +44,8 @@
 			Queued:      r.Queued,
 			Outstanding: s.outstanding,
 			Latency:     s.latency,
+			Reported:    r.Reported,
+			ReportAge:   wish.Now.Sub(r.ReportedAt),
 			CountAge:    wish.Now.Sub(r.Updated),
 		})
 	}
--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -24,6 +24,10 @@
 	tolerance = 1.5
 	// countTime is how long a dispatcher's count of free slots is believed.
 	countTime = 250 * time.Millisecond
+	// reportTime is how long an upstream's own report of its load breaks ties, and
+	// reportWeight the most that it changes a weight by.
+	reportTime   = 2 * time.Second
+	reportWeight = 0.1
 	// sameDomainWeight is the preference for the coordinator's own failure
 	// domain among equally good replicas.
 	sameDomainWeight = 2
@@ -254,7 +258,19 @@
 	if wish.Avoid != "" && r.Domain == wish.Avoid {
 		w /= 10 * sameDomainWeight
 	}
-	return w
+	return w * tieBreak(r, wish.Now)
+}
+
+// tieBreak lowers a weight a little for an upstream that reports much load of
+// itself, the less the older the report is.
+func tieBreak(r *snapshot.Replica, now model.Instant) float64 {
+	age := now.Sub(r.ReportedAt)
+	if age >= reportTime || r.Limit <= 0 {
+		return 1
+	}
+	load := min(1, float64(r.Reported)/float64(r.Limit))
+	freshness := 1 - max(0, float64(age))/float64(reportTime)
+	return 1 - reportWeight*load*freshness
 }
 
 // ChooseRandom returns any usable replica that was not tried. It is the baseline
--- a/internal/reducer/query/replica/replica_test.go
+++ b/internal/reducer/query/replica/replica_test.go
@@ -112,6 +112,22 @@
 	}
 }
 
+func TestReportedLoadBreaksTiesOnly(t *testing.T) {
+	replicas := three()
+	replicas[0].Reported = 100
+	for _, r := range replicas {
+		r.ReportedAt = now
+	}
+	wish := Wish{Now: now}
+	if got := weight(2, replicas[0], wish); got >= weight(2, replicas[1], wish) || got <= weight(1, replicas[1], wish) {
+		t.Errorf("weight %v of a replica that reports load", got)
+	}
+	wish.Now = now.Add(reportTime)
+	if weight(2, replicas[0], wish) != weight(2, replicas[1], wish) {
+		t.Error("an old report still counts")
+	}
+}
+
 func TestDomainPreference(t *testing.T) {
 	counts := shares(NewTable(), three(), Wish{Now: now, Domain: "b", Avoid: "a"})
 	if counts["s/b"] <= counts["s/c"] || counts["s/a"] >= counts["s/c"] {
--- a/internal/reducer/snapshot/catalog.go
+++ b/internal/reducer/snapshot/catalog.go
@@ -66,6 +66,9 @@
 	FreeSlots int
 	Queued    int
 	Limit     int
+	// Reported is the load that the upstream reported of itself at ReportedAt.
+	Reported   int
+	ReportedAt model.Instant
 	// Updated is when the count arrived, on this node's clock.
 	Updated model.Instant
 }
@@ -125,6 +128,8 @@
 	r.FreeSlots = report.FreeSlots
 	r.Queued = report.Queued
 	r.Limit = report.Limit
+	r.Reported = report.ReportedInFlight
+	r.ReportedAt = ctx.Now.Add(-report.ReportedAge)
 	if r.sameHoldings(report.Holdings) {
 		return
 	}
@@ -228,6 +233,9 @@
 		FreeSlots: r.FreeSlots,
 		Queued:    r.Queued,
 		Limit:     r.Limit,
+
+		ReportedInFlight: r.Reported,
+		ReportedAge:      r.received.Sub(r.ReportedAt),
 	}, true
 }
 
