--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,8 +23,11 @@
 func All() []Experiment {
 	return []Experiment{
 		straggler(),
-		changes(),
+		overload(),
+		dispatchers(),
+		lostNode(),
 		rollingVersions(),
+		changes(),
 		stops(),
 		control(),
 	}
