Catalog: keep pattern matches and the index of unchanged services

Change: matches are kept until the configuration changes (at most 256 patterns), and services whose upstreams are as before keep their index. Reports of upstreams that left the configuration are forgotten after a minute at the next change.

--- a/internal/reducer/query/bench_test.go
+++ b/internal/reducer/query/bench_test.go
@@ -67,14 +67,7 @@
 // BenchmarkCatalogMemory measures the memory of the catalog at the users' target,
 // in bytes an upstream, with two versions held.
 func BenchmarkCatalogMemory(b *testing.B) {
-	config := &model.Config{Revision: 1}
-	for i := range targetUpstreams / 3 {
-		service := model.Service{Name: model.ServiceName(fmt.Sprintf("service-%d", i))}
-		for j := range 3 {
-			service.Upstreams = append(service.Upstreams, model.Upstream{ID: model.UpstreamID(fmt.Sprintf("%s/u%d", service.Name, j))})
-		}
-		config.Services = append(config.Services, service)
-	}
+	config := targetConfig()
 	var before, after runtime.MemStats
 	for range b.N {
 		runtime.GC()
@@ -96,6 +89,49 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/targetUpstreams, "B/upstream")
 }
 
+// targetConfig returns a configuration of the users' target.
+func targetConfig() *model.Config {
+	config := &model.Config{Revision: 1}
+	for i := range targetUpstreams / 3 {
+		service := model.Service{Name: model.ServiceName(fmt.Sprintf("service-%d", i))}
+		for j := range 3 {
+			service.Upstreams = append(service.Upstreams, model.Upstream{ID: model.UpstreamID(fmt.Sprintf("%s/u%d", service.Name, j))})
+		}
+		config.Services = append(config.Services, service)
+	}
+	return config
+}
+
+// BenchmarkResolve measures the matching of a pattern at the users' target.
+func BenchmarkResolve(b *testing.B) {
+	catalog := snapshot.NewCatalog()
+	ctx := &step.Context{Now: 1, Config: targetConfig()}
+	b.ReportAllocs()
+	for range b.N {
+		if _, failure := catalog.Resolve(ctx, []string{"service-12?"}); failure != nil {
+			b.Fatal(failure)
+		}
+	}
+}
+
+// BenchmarkConfigChange measures the catalog's part of a configuration change at
+// the users' target.
+func BenchmarkConfigChange(b *testing.B) {
+	catalog := snapshot.NewCatalog()
+	ctx := &step.Context{Now: 1, Config: targetConfig()}
+	for _, service := range ctx.Config.Services {
+		for _, upstream := range service.Upstreams {
+			catalog.HandleReport(ctx, model.IndexReport{Upstream: upstream.ID, Reachable: true, Holdings: []model.Holding{wholeMap(1)}})
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		changed := *ctx.Config
+		ctx.Config = &changed
+		catalog.Service(ctx, "service-1")
+	}
+}
+
 // BenchmarkReport measures one unchanged report of an upstream.
 func BenchmarkReport(b *testing.B) {
 	coordinator := benchWith(b, searchPolicy(), "v0")
--- a/internal/reducer/snapshot/catalog.go
+++ b/internal/reducer/snapshot/catalog.go
@@ -30,6 +30,9 @@
 // is kept: the configuration may be on its way.
 const orphanTimeout = 1 * time.Minute
 
+// maxMatches bounds the patterns whose matches are kept.
+const maxMatches = 256
+
 // Catalog is what a node knows of the upstreams' holdings.
 type Catalog struct {
 	config   *model.Config
@@ -37,6 +40,8 @@
 	// names lists the services in order.
 	names   []model.ServiceName
 	records map[model.UpstreamID]*record
+	// matches keeps what patterns selected from the configuration.
+	matches map[string][]model.ServiceName
 }
 
 // service is the index of one service's holdings.
@@ -82,7 +87,9 @@
 	observed model.Instant
 	received model.Instant
 	// drains is the upstream's own statement.
-	drains   bool
+	drains bool
+	// adopted is true while the upstream is in the configuration.
+	adopted  bool
 	holdings []holding
 }
 
@@ -97,6 +104,7 @@
 	return &Catalog{
 		services: make(map[model.ServiceName]*service),
 		records:  make(map[model.UpstreamID]*record),
+		matches:  make(map[string][]model.ServiceName),
 	}
 }
 
@@ -112,7 +120,7 @@
 	if !known {
 		r = &record{Replica: Replica{ID: report.Upstream}}
 		c.records[report.Upstream] = r
-		c.adopt(r)
+		r.adopted = c.adopt(r)
 	}
 	c.applyReport(ctx, r, report)
 }
@@ -265,6 +273,9 @@
 	if _, ok := c.services[model.ServiceName(pattern)]; ok {
 		return []model.ServiceName{model.ServiceName(pattern)}, nil
 	}
+	if matched, ok := c.matches[pattern]; ok {
+		return matched, nil
+	}
 	var matched []model.ServiceName
 	for _, name := range c.names {
 		ok, err := path.Match(pattern, string(name))
@@ -278,6 +289,10 @@
 	if len(matched) == 0 {
 		return nil, model.Failf(model.CodeUnknownService, "no service matches %.100q", pattern)
 	}
+	if len(c.matches) >= maxMatches {
+		clear(c.matches)
+	}
+	c.matches[pattern] = matched
 	return matched, nil
 }
 
@@ -290,34 +305,51 @@
 	return nil
 }
 
-// sync brings the index in line with the configuration in force.
+// sync brings the index in line with the configuration in force. Services whose
+// upstreams are as before keep their index.
 func (c *Catalog) sync(ctx *step.Context) {
 	if c.config == ctx.Config {
 		return
 	}
 	c.config = ctx.Config
+	previous := c.services
 	c.services = make(map[model.ServiceName]*service, len(ctx.Config.Services))
 	c.names = c.names[:0]
+	clear(c.matches)
+	changed := make(map[model.ServiceName]bool)
 	for i := range ctx.Config.Services {
 		configured := &ctx.Config.Services[i]
-		c.services[configured.Name] = &service{config: configured}
 		c.names = append(c.names, configured.Name)
+		s := previous[configured.Name]
+		if s == nil || !slices.Equal(s.config.Upstreams, configured.Upstreams) {
+			s = &service{}
+			changed[configured.Name] = true
+		}
+		s.config = configured
+		c.services[configured.Name] = s
 	}
 	slices.Sort(c.names)
-	c.adoptAll(ctx)
-	for _, name := range c.names {
-		c.services[name].rebuild(ctx)
-	}
+	c.adoptChanged(ctx, changed)
 }
 
-// adoptAll sorts the records into the services and forgets those that have long
-// been in no configuration.
-func (c *Catalog) adoptAll(ctx *step.Context) {
+// adoptChanged sorts the records into the changed services, indexes those, and
+// forgets records that have long been in no configuration.
+func (c *Catalog) adoptChanged(ctx *step.Context, changed map[model.ServiceName]bool) {
 	for id, r := range c.records {
-		if !c.adopt(r) && ctx.Now.Sub(r.received) > orphanTimeout {
+		name := id.Service()
+		if r.adopted && c.services[name] != nil && !changed[name] {
+			continue
+		}
+		r.adopted = c.adopt(r)
+		if !r.adopted && ctx.Now.Sub(r.received) > orphanTimeout {
 			delete(c.records, id)
 		}
 	}
+	for _, name := range c.names {
+		if changed[name] {
+			c.services[name].rebuild(ctx)
+		}
+	}
 }
 
 // adopt puts a record into its service if the configuration has the upstream.
--- a/internal/reducer/snapshot/snapshot_test.go
+++ b/internal/reducer/snapshot/snapshot_test.go
@@ -130,6 +130,44 @@
 	}
 }
 
+func TestCatalogFollowsTheConfiguration(t *testing.T) {
+	c, ctx := catalogOf(2)
+	whole := model.Holding{Version: 1, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}}
+	for i := range 3 {
+		c.HandleReport(ctx, report(i, 1, whole))
+	}
+	holders := func(want int) {
+		t.Helper()
+		pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld)
+		if got := len(pin.Target(0).Holders); got != want {
+			t.Errorf("%d holders, want %d", got, want)
+		}
+	}
+	holders(2)
+	first := ctx.Config.Services[0]
+	change := func(upstreams ...model.Upstream) {
+		changed := first
+		changed.Upstreams = upstreams
+		ctx.Config = &model.Config{Services: []model.Service{changed}}
+	}
+	change(first.Upstreams[0], first.Upstreams[1], model.Upstream{ID: "s/u2"})
+	holders(3)
+	change(first.Upstreams[0])
+	holders(1)
+	ctx.Config = &model.Config{}
+	if _, failure := c.Resolve(ctx, []string{"s"}); failure == nil {
+		t.Error("a dropped service is still found")
+	}
+	change(first.Upstreams...)
+	holders(2)
+	ctx.Now = ctx.Now.Add(2 * orphanTimeout)
+	change(first.Upstreams...)
+	holders(2)
+	if _, ok := c.Report("s/u2"); ok {
+		t.Error("a report of an upstream in no configuration is kept for good")
+	}
+}
+
 func TestDrainingAndUnreachableAreNotCounted(t *testing.T) {
 	c, ctx := catalogOf(1)
 	r := report(0, 1, model.Holding{Version: 1, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}})
