--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -42,7 +42,7 @@
 		{"query_reroutes_total", "", "Sub-requests sent to another dispatcher of the same upstream."},
 		{"query_restarts_total", "", "Searches restarted on another snapshot."},
 		{"query_retries_denied_total", "reason", "Retries that were due and not sent."},
-		{"query_retries_total", "", "Retries sent."},
+		{"query_retries_total", "kind", "Retries sent to another replica, or to any after a pause."},
 		{"query_unmatched_results_total", "reason", "Results that belong to no open attempt."},
 		{"query_withdrawn_total", "", "Searches given up because their least coverage was out of reach."},
 		{"quarantine_cleared_total", "service", "Suspects that ran to their end."},
