--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,6 +23,11 @@
 func All() []Experiment {
 	return []Experiment{
 		straggler(),
+		overload(),
+		dispatchers(),
+		lostNode(),
+		rollingVersions(),
+		changes(),
 		crashes(),
 		stops(),
 		control(),
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -43,9 +43,12 @@
 // handleLifecycleTimer moves the node from starting to serving, and from leaving
 // to its exit.
 func (s *State) handleLifecycleTimer(ctx *step.Context) {
+	s.publishOperators(ctx)
 	switch s.lifecycle.state {
 	case model.Starting:
 		s.serveWhenReady(ctx)
+	case model.Serving:
+		s.pauseUnlessReady(ctx)
 	case model.Leaving:
 		s.stepLeaving(ctx)
 	}
@@ -64,6 +67,29 @@
 	ctx.Log(effect.Info, "lifecycle", "serving")
 }
 
+// pauseUnlessReady takes the node out of service while its configuration may be
+// long out of date.
+func (s *State) pauseUnlessReady(ctx *step.Context) {
+	if s.config.Ready() {
+		return
+	}
+	s.lifecycle.state = model.Starting
+	s.membership.SetState(ctx, model.Starting)
+	s.viewChanged(ctx, true)
+	ctx.Log(effect.Warning, "lifecycle", "out of service until the configuration is recent")
+}
+
+// publishOperators tells the administration API which operators are in force.
+// While the node catches up with the configuration it publishes nothing: an old
+// revision may lack the operators.
+func (s *State) publishOperators(ctx *step.Context) {
+	if !s.config.Ready() || s.published == ctx.Config {
+		return
+	}
+	s.published = ctx.Config
+	ctx.Emit(effect.PublishOperators{Operators: ctx.Config.Operators})
+}
+
 // stepStop starts the graceful stop, or ends it at once when asked again.
 func (s *State) stepStop(ctx *step.Context) {
 	if s.lifecycle.state == model.Leaving {
--- a/internal/reducer/membership/digest.go
+++ b/internal/reducer/membership/digest.go
@@ -24,8 +24,8 @@
 	rotatingRumors = 2
 	// inForceSample bounds the revisions of other hosts in one digest. They are the
 	// most recent of a random choice.
-	inForceSample = 12
-	inForceChoice = 24
+	inForceSample = 6
+	inForceChoice = 12
 	// helpInterval is the least time between two tables for one host.
 	helpInterval = 5 * time.Second
 	// tablePart is how many descriptions one message to a new host carries.
@@ -58,6 +58,7 @@
 func (s *State) sendFull(ctx *step.Context) {
 	digest := s.digest()
 	digest.InForce = s.sampleInForce(ctx)
+	digest.Holders = s.holders()
 	s.sendTo(ctx, s.targets(ctx), digest)
 }
 
@@ -107,13 +108,35 @@
 func (s *State) allTargets() []model.HostID {
 	var hosts []model.HostID
 	for _, r := range s.records {
-		if r.isAlive() || s.ticks%silentTicks == 0 {
+		isNew := !r.described && r.introductions < silentTicks
+		if isNew {
+			r.introductions++
+		}
+		if r.isAlive() || isNew || s.ticks%silentTicks == 0 {
 			hosts = append(hosts, r.member.Host)
 		}
 	}
 	return hosts
 }
 
+// introduce sends the node's digest to the hosts that it has just learned of, so
+// that they can answer its messages.
+func (s *State) introduce(ctx *step.Context) {
+	if !s.hasFewHosts() {
+		return
+	}
+	var hosts []model.HostID
+	for _, r := range s.records {
+		if !r.described && r.introductions == 0 {
+			r.introductions++
+			hosts = append(hosts, r.member.Host)
+		}
+	}
+	if len(hosts) > 0 {
+		s.sendTo(ctx, hosts, s.digest())
+	}
+}
+
 // silentTargets returns now and then a random host that is failed or was never
 // heard of, so that the two sides of a mended partition find each other again. A
 // newcomer turns to some at each tick, until one sends it the table of hosts.
@@ -196,12 +219,18 @@
 
 // learnRumors takes in what a peer believes of other hosts.
 func (s *State) learnRumors(now model.Instant, rumors []message.Rumor) {
+	isTable := len(rumors) > freshRumors+rotatingRumors
 	for _, rumor := range rumors {
 		if rumor.Member.Host == s.self.Host {
 			s.refute(rumor)
 			continue
 		}
-		s.learnRumor(now, s.ensure(rumor.Member.Host), rumor)
+		r := s.ensure(rumor.Member.Host)
+		s.learnRumor(now, r, rumor)
+		if isTable {
+			// What a newcomer learns from a table is news to nobody else.
+			r.rumors = 0
+		}
 	}
 }
 
@@ -220,7 +249,9 @@
 	case rumor.Sequence > r.sequence:
 		r.lost = 0
 	}
-	m.Revision = max(m.Revision, r.member.Revision)
+	if m.Incarnation == r.member.Incarnation {
+		m.Revision = max(m.Revision, r.member.Revision)
+	}
 	s.describe(now, r, m, rumor.Sequence)
 }
 
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -78,6 +78,7 @@
 	}
 	if t.hedgeDelay > 0 {
 		t.hedgeAt = ctx.Now.Add(t.hedgeDelay)
+		r.wakeAt = 0
 	}
 }
 
--- a/internal/reducer/snapshot/catalog.go
+++ b/internal/reducer/snapshot/catalog.go
@@ -4,7 +4,6 @@
 package snapshot
 
 import (
-	"cmp"
 	"path"
 	"slices"
 	"time"
@@ -30,6 +29,9 @@
 // is kept: the configuration may be on its way.
 const orphanTimeout = 1 * time.Minute
 
+// maxMatches bounds the patterns whose matches are kept.
+const maxMatches = 256
+
 // Catalog is what a node knows of the upstreams' holdings.
 type Catalog struct {
 	config   *model.Config
@@ -37,6 +39,8 @@
 	// names lists the services in order.
 	names   []model.ServiceName
 	records map[model.UpstreamID]*record
+	// matches keeps what patterns selected from the configuration.
+	matches map[string][]model.ServiceName
 }
 
 // service is the index of one service's holdings.
@@ -66,6 +70,9 @@
 	FreeSlots int
 	Queued    int
 	Limit     int
+	// Reported is the load that the upstream reported of itself at ReportedAt.
+	Reported   int
+	ReportedAt model.Instant
 	// Updated is when the count arrived, on this node's clock.
 	Updated model.Instant
 }
@@ -79,7 +86,9 @@
 	observed model.Instant
 	received model.Instant
 	// drains is the upstream's own statement.
-	drains   bool
+	drains bool
+	// adopted is true while the upstream is in the configuration.
+	adopted  bool
 	holdings []holding
 }
 
@@ -94,6 +103,7 @@
 	return &Catalog{
 		services: make(map[model.ServiceName]*service),
 		records:  make(map[model.UpstreamID]*record),
+		matches:  make(map[string][]model.ServiceName),
 	}
 }
 
@@ -109,7 +119,7 @@
 	if !known {
 		r = &record{Replica: Replica{ID: report.Upstream}}
 		c.records[report.Upstream] = r
-		c.adopt(r)
+		r.adopted = c.adopt(r)
 	}
 	c.applyReport(ctx, r, report)
 }
@@ -125,6 +135,8 @@
 	r.FreeSlots = report.FreeSlots
 	r.Queued = report.Queued
 	r.Limit = report.Limit
+	r.Reported = report.ReportedInFlight
+	r.ReportedAt = ctx.Now.Add(-report.ReportedAge)
 	if r.sameHoldings(report.Holdings) {
 		return
 	}
@@ -228,6 +240,9 @@
 		FreeSlots: r.FreeSlots,
 		Queued:    r.Queued,
 		Limit:     r.Limit,
+
+		ReportedInFlight: r.Reported,
+		ReportedAge:      r.received.Sub(r.ReportedAt),
 	}, true
 }
 
@@ -257,6 +272,9 @@
 	if _, ok := c.services[model.ServiceName(pattern)]; ok {
 		return []model.ServiceName{model.ServiceName(pattern)}, nil
 	}
+	if matched, ok := c.matches[pattern]; ok {
+		return matched, nil
+	}
 	var matched []model.ServiceName
 	for _, name := range c.names {
 		ok, err := path.Match(pattern, string(name))
@@ -270,6 +288,10 @@
 	if len(matched) == 0 {
 		return nil, model.Failf(model.CodeUnknownService, "no service matches %.100q", pattern)
 	}
+	if len(c.matches) >= maxMatches {
+		clear(c.matches)
+	}
+	c.matches[pattern] = matched
 	return matched, nil
 }
 
@@ -281,74 +303,3 @@
 	}
 	return nil
 }
-
-// sync brings the index in line with the configuration in force.
-func (c *Catalog) sync(ctx *step.Context) {
-	if c.config == ctx.Config {
-		return
-	}
-	c.config = ctx.Config
-	c.services = make(map[model.ServiceName]*service, len(ctx.Config.Services))
-	c.names = c.names[:0]
-	for i := range ctx.Config.Services {
-		configured := &ctx.Config.Services[i]
-		c.services[configured.Name] = &service{config: configured}
-		c.names = append(c.names, configured.Name)
-	}
-	slices.Sort(c.names)
-	c.adoptAll(ctx)
-	for _, name := range c.names {
-		c.services[name].rebuild(ctx)
-	}
-}
-
-// adoptAll sorts the records into the services and forgets those that have long
-// been in no configuration.
-func (c *Catalog) adoptAll(ctx *step.Context) {
-	for id, r := range c.records {
-		if !c.adopt(r) && ctx.Now.Sub(r.received) > orphanTimeout {
-			delete(c.records, id)
-		}
-	}
-}
-
-// adopt puts a record into its service if the configuration has the upstream.
-func (c *Catalog) adopt(r *record) bool {
-	s := c.services[r.ID.Service()]
-	if s == nil {
-		return false
-	}
-	configured := s.config.Upstream(r.ID)
-	if configured == nil {
-		return false
-	}
-	r.Domain = configured.FailureDomain
-	r.Draining = r.drains || configured.Draining
-	place, _ := slices.BinarySearchFunc(s.records, r.ID, func(other *record, id model.UpstreamID) int {
-		return cmp.Compare(other.ID, id)
-	})
-	s.records = slices.Insert(s.records, place, r)
-	return true
-}
-
-// configuredDraining reports whether the operators drain an upstream.
-func (c *Catalog) configuredDraining(id model.UpstreamID) bool {
-	s := c.services[id.Service()]
-	if s == nil {
-		return false
-	}
-	configured := s.config.Upstream(id)
-	return configured != nil && configured.Draining
-}
-
-// Len returns the number of upstreams whose last report says that they can be
-// reached.
-func (c *Catalog) Len() int {
-	reachable := 0
-	for _, r := range c.records {
-		if r.Reachable {
-			reachable++
-		}
-	}
-	return reachable
-}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -82,6 +82,8 @@
 	session    *session.State
 	show       *show.Answerer
 	lifecycle  lifecycle
+	// published is the configuration whose operators were last published.
+	published *model.Config
 	// last is the time of the last event.
 	last model.Instant
 	// ctx, source and out are used again by every step.
@@ -116,7 +118,7 @@
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
 	s.ctx = step.Context{Random: rand.New(s.source), View: s.membership, Timers: &s.timers}
-	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session})
+	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session, Quarantine: s.quarantine, Dispatcher: s.dispatch})
 	return s
 }
 
@@ -168,7 +170,7 @@
 	}
 	switch m := m.(type) {
 	case message.Dispatch:
-		s.dispatch.HandleDispatch(ctx, from, m)
+		s.stepDispatch(ctx, from, m)
 	case message.Cancel:
 		s.dispatch.HandleCancel(ctx, from, m)
 	case message.DispatchResult:
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -141,7 +141,8 @@
 		return
 	}
 	ctx.Config = s.config.InForce()
-	s.membership.SetRevision(ctx.Config.Revision)
+	s.publishOperators(ctx)
+	s.membership.SetRevision(ctx.Now, ctx.Config.Revision)
 	ctx.Self = s.membership.Self()
 	s.quarantine.HandleConfig(ctx)
 	s.dispatch.HandleConfig(ctx)
@@ -150,6 +151,10 @@
 
 // stepSearch starts a search unless the node is not ready for it.
 func (s *State) stepSearch(ctx *step.Context, e event.Search) {
+	if !s.config.Ready() {
+		s.refuseSearch(ctx, e)
+		return
+	}
 	s.query.HandleSearch(ctx, e)
 }
 
