--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -33,9 +33,11 @@
 		Dir:   "testdata/script",
 		Setup: setFreePorts,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"waitfor":   waitFor,
-			"startdemo": startDemo,
-			"page":      runPage,
+			"waitfor":      waitFor,
+			"startdemo":    startDemo,
+			"page":         runPage,
+			"certificates": makeCertificates,
+			"waitfortls":   waitForTLS,
 		},
 	})
 }
