--- a/cmd/hawthorntack/ctl_test.go
+++ b/cmd/hawthorntack/ctl_test.go
@@ -22,14 +22,17 @@
 }
 
 func TestALostReplyToAChangeIsUnknown(t *testing.T) {
-	var sent api.StatementBody
+	received := make(chan api.StatementBody, 3)
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var body api.StatementBody
 		raw, _ := io.ReadAll(r.Body)
-		_ = json.Unmarshal(raw, &sent)
+		_ = json.Unmarshal(raw, &body)
+		received <- body
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
 	code, _, errors := runCtl(server, "-e", "drop user a")
+	sent := <-received
 	if code != exitFailed || sent.Change == "" || !strings.Contains(errors, "unknown") || !strings.Contains(errors, "show change "+string(sent.Change)) {
 		t.Errorf("a change: exit %d, %s", code, errors)
 	}
