--- a/cmd/hawthorntack/ctl_prompt.go
+++ b/cmd/hawthorntack/ctl_prompt.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/peterh/liner"
+
+	"github.com/hawthorntack/hawthorntack/internal/statement"
 )
 
 // prompt reads statements from a person until the input ends. A statement ends
@@ -17,6 +19,11 @@
 	defer editor.Close()
 	editor.SetCtrlCAborts(true)
 	var lines []string
+	editor.SetWordCompleter(func(typed string, position int) (string, []string, string) {
+		earlier := strings.Join(append(lines, ""), "\n")
+		before, candidates := statement.Complete(earlier + typed[:position])
+		return strings.TrimPrefix(before, earlier), candidates, typed[position:]
+	})
 	for {
 		typed, err := editor.Prompt(promptText(lines))
 		switch {
--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -44,6 +44,8 @@
 	Administration Administration
 	Verifier       Verifier
 	Gatherer       prometheus.Gatherer
+	// Refused counts calls that are refused for who calls.
+	Refused func(code model.Code)
 	// Loopback is true when the API listens on a loopback address.
 	Loopback bool
 }
@@ -118,6 +120,7 @@
 	if failure == nil {
 		return operator, nil
 	}
+	h.options.Refused(failure.Code)
 	switch failure.Code {
 	case model.CodeUnauthenticated:
 		c.Response().Header().Set(echo.HeaderWWWAuthenticate, `Basic realm="hawthorntack"`)
--- a/internal/api/admin_test.go
+++ b/internal/api/admin_test.go
@@ -21,8 +21,12 @@
 	statement event.Statement
 	result    effect.StatementResult
 	err       error
+	refused   []model.Code
 }
 
+// refuse notes a refused call.
+func (f *fakeAdministration) refuse(code model.Code) { f.refused = append(f.refused, code) }
+
 func (f *fakeAdministration) Statement(_ context.Context, e event.Statement) (effect.StatementResult, error) {
 	f.statement = e
 	return f.result, f.err
@@ -51,7 +55,7 @@
 // call calls the administration API.
 func call(a *fakeAdministration, method, path, operator, body string) *httptest.ResponseRecorder {
 	e := NewEcho("1K")
-	RegisterAdmin(e, AdminOptions{Administration: a, Verifier: fakeVerifier{}, Gatherer: prometheus.NewRegistry(), Loopback: true})
+	RegisterAdmin(e, AdminOptions{Administration: a, Verifier: fakeVerifier{}, Gatherer: prometheus.NewRegistry(), Refused: a.refuse, Loopback: true})
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Header.Set("Authorization", operator)
 	recorder := httptest.NewRecorder()
@@ -108,6 +112,9 @@
 				t.Errorf("%s: %v", c.name, err)
 			}
 		}
+		if isRefused := recorder.Code == http.StatusUnauthorized; isRefused && len(a.refused) != 1 {
+			t.Errorf("%s: refusals %v, want one", c.name, a.refused)
+		}
 		if recorder.Code != c.status || reply.Outcome != c.outcome {
 			t.Errorf("%s: status %d, outcome %q; want %d, %q", c.name, recorder.Code, reply.Outcome, c.status, c.outcome)
 		}
@@ -116,7 +123,7 @@
 
 func TestRateOfCallsIsBounded(t *testing.T) {
 	e := NewEcho("1K")
-	RegisterAdmin(e, AdminOptions{Administration: &fakeAdministration{}, Verifier: fakeVerifier{}, Gatherer: prometheus.NewRegistry()})
+	RegisterAdmin(e, AdminOptions{Administration: &fakeAdministration{}, Verifier: fakeVerifier{}, Gatherer: prometheus.NewRegistry(), Refused: func(model.Code) {}})
 	limited := 0
 	for range 4 * adminBurst {
 		recorder := httptest.NewRecorder()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,6 +225,7 @@
 		Administration: d.node.Calls(),
 		Verifier:       d.verifier,
 		Gatherer:       d.registry,
+		Refused:        metrics.NewRefusals(d.registry).Count,
 		Loopback:       auth.IsLoopback(d.AdminAddress()),
 	})
 	return e
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -97,6 +97,7 @@
 	registry := prometheus.NewRegistry()
 	NewObserver(registry)
 	NewGauges(registry, noDump{})
+	NewRefusals(registry)
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/statement/expect.go
+++ b/internal/statement/expect.go
@@ -86,6 +86,33 @@
 	return list(words)
 }
 
+// Complete returns the fixed words that may follow a text which is being typed,
+// those that begin with its last, unfinished word; and what stands before that
+// word.
+func Complete(text string) (before string, candidates []string) {
+	start := strings.LastIndexAny(text, " \t\n;") + 1
+	before, unfinished := text[:start], strings.ToLower(text[start:])
+	statements, err := split(before)
+	if err != nil {
+		return before, nil
+	}
+	var prefix []lexer.Token
+	if len(statements) > 0 && !strings.HasSuffix(strings.TrimSpace(before), ";") {
+		last := statements[len(statements)-1]
+		prefix = last[:len(last)-1]
+	}
+	place := lexer.Position{Offset: len(text) + 1, Line: 1, Column: 1}
+	if len(prefix) > maxProbedTokens || expectedValue(prefix, place) != "" || accepts(prefix, anyWord, tokenWord, place) {
+		return before, nil
+	}
+	for _, keyword := range keywords {
+		if strings.HasPrefix(keyword, unfinished) && accepts(prefix, keyword, tokenWord, place) {
+			candidates = append(candidates, keyword)
+		}
+	}
+	return before, candidates
+}
+
 // expectedValue returns which value is expected at a place, or "" if none is.
 func expectedValue(prefix []lexer.Token, place lexer.Position) string {
 	err := probe(append(slices.Clip(prefix), word(impossible, tokenWord, place)), place)
--- a/internal/statement/parse_test.go
+++ b/internal/statement/parse_test.go
@@ -1,6 +1,9 @@
 package statement
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 func TestSyntaxProblemsNameThePlaceAndWhatIsExpected(t *testing.T) {
 	for _, c := range []struct{ text, want string }{
@@ -58,6 +61,26 @@
 	}
 }
 
+func TestCompletion(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"cr", "create"},
+		{"create ", "operator service upstream user"},
+		{"create user ", ""},
+		{"create user a w", "weight"},
+		{"show services; dr", "drain drop"},
+		{"alter service x set answer ", "at by"},
+		{"show services where user = a a", "and"},
+		{"show h", "history"},
+		{"", "alter convict create drain drop explain pardon rotate show undrain"},
+		{"create user %%% ", ""},
+	} {
+		_, candidates := Complete(c.text)
+		if got := strings.Join(candidates, " "); got != c.want {
+			t.Errorf("%q: %s, want %s", c.text, got, c.want)
+		}
+	}
+}
+
 func TestPatternsMatchNames(t *testing.T) {
 	for _, c := range []struct {
 		pattern, name string
