Replay accepted changes without judging them

Cause: a release with stricter rules would have voided entries that the release before it has in force: two configurations at one revision. Change: the writer alone judges; followers replay, and fail only on what cannot be made. Conclusion: a property-sized configuration replays to what it applies to; texts that break a rule replay, texts that cannot be made do not.

--- a/internal/reducer/config/history.go
+++ b/internal/reducer/config/history.go
@@ -131,7 +131,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	return statement.Apply(config, script.Changes)
+	return statement.Replay(config, script.Changes)
 }
 
 // remember records a change.
--- a/internal/statement/apply_test.go
+++ b/internal/statement/apply_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+func TestAcceptedChangesAreReplayedWithoutJudgement(t *testing.T) {
+	script, _ := Parse(base)
+	applied, _ := Apply(&model.Config{}, script.Changes)
+	replayed, failure := Replay(&model.Config{}, script.Changes)
+	if failure != nil || !reflect.DeepEqual(applied, replayed) {
+		t.Fatalf("applied\n%s\nreplayed\n%s%v", Print(applied), Print(replayed), failure)
+	}
+	for _, c := range []struct {
+		text string
+		want bool
+	}{
+		{"alter service one set answer by 300ms", true},
+		{"drop upstream one/*", true},
+		{"create user c weight 0; create operator bob key hash 'old'", true},
+		{"alter service three set rate 5", false},
+		{"create user a", false},
+	} {
+		script, _ := Parse(c.text)
+		if _, failure := Apply(applied, script.Changes); failure == nil {
+			t.Errorf("%q is not refused", c.text)
+		}
+		if _, failure := Replay(applied, script.Changes); (failure == nil) != c.want {
+			t.Errorf("%q is replayed: %v, want %t", c.text, failure, c.want)
+		}
+	}
+}
+
 func TestAnOperatorOfAUserChangesOnlyItsServices(t *testing.T) {
 	config := mustApply(t, &model.Config{}, base)
 	for _, c := range []struct {
--- a/internal/statement/problem.go
+++ b/internal/statement/problem.go
@@ -52,6 +52,12 @@
 	RuleSize             Rule = "size"
 )
 
+// isStructural reports whether a change that violates the rule cannot be made at
+// all, so that no release may change the rule.
+func (r Rule) isStructural() bool {
+	return r == RuleUnknown || r == RuleDuplicate
+}
+
 // Problem is one thing that is wrong with a text, and where.
 type Problem struct {
 	Position Position `json:"position"`
