--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -24,6 +24,7 @@
 	return []Experiment{
 		straggler(),
 		overload(),
+		flood(),
 		dispatchers(),
 		lostNode(),
 		rollingVersions(),
--- a/internal/experiment/lab/phases.go
+++ b/internal/experiment/lab/phases.go
@@ -54,6 +54,9 @@
 	return samples
 }
 
+// Query returns the query of the number-th search that Drive sends.
+func Query(number int) string { return fmt.Sprintf(`"query %d"`, number) }
+
 // driver is a load under way.
 type driver struct {
 	cluster *Cluster
@@ -85,7 +88,7 @@
 		return !c.Alive(host) || c.State(host).MemberState() != model.Serving
 	})
 	host := hosts[d.random.IntN(len(hosts))]
-	sample := &Sample{At: c.Now().Sub(d.begin), Query: fmt.Sprintf(`"query %d"`, len(d.samples)), Host: host}
+	sample := &Sample{At: c.Now().Sub(d.begin), Query: Query(len(d.samples)), Host: host}
 	search := d.draw(d.random, len(d.samples))
 	search.Query = []byte(sample.Query)
 	d.samples = append(d.samples, sample)
