Query: a cancellation is no reason for a caller

Cause: a load on the demo (500/s over counter-*) got one search as not run with the code cancelled: the taken-back parts of a withdrawn search replaced the code of the refusal. Change: the coordinator's own cancellations are no reason. Conclusion: the test states the code.

--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -233,7 +233,8 @@
 
 // noteReason remembers why the last attempt was refused.
 func (r *request) noteReason(reason model.Code, retryAfter time.Duration) {
-	if reason != "" && r.reason != model.CodeQuarantined {
+	// A cancellation is the coordinator's own doing: it is no reason for a caller.
+	if reason != "" && reason != model.CodeCancelled && r.reason != model.CodeQuarantined {
 		r.reason = reason
 	}
 	r.retryAfter = max(r.retryAfter, retryAfter)
--- a/internal/reducer/query/withdraw_test.go
+++ b/internal/reducer/query/withdraw_test.go
@@ -46,10 +46,15 @@
 	if len(b.replies) != 0 {
 		t.Fatal("answered before it was known whether the open attempt ran")
 	}
-	b.result(peerHost, ended(open, message.StatusTakenBack))
+	takenBack := ended(open, message.StatusTakenBack)
+	takenBack.Reason = model.CodeCancelled
+	b.result(peerHost, takenBack)
 	if len(b.replies) != 1 || b.replies[0].Answer.Outcome != model.NotRun {
 		t.Fatalf("replies = %+v, want not run", b.replies)
 	}
+	if code := b.replies[0].Answer.Failure.Code; code != model.CodeOverloaded {
+		t.Errorf("code %s, want that of the refusal", code)
+	}
 }
 
 func TestHopelessSearchDoesNotWaitForever(t *testing.T) {
