Peer streams notice their end at once, and repeat nothing

Change: the sending side waits for the stream's end beside its messages; closing waits for the same. Conclusion: PeerLost comes when a peer goes, not up to a digest interval later.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -144,6 +144,14 @@
 	if err != nil {
 		return fmt.Errorf("peer %s at %s: %w", key.host, key.address, err)
 	}
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		// The peer sends nothing before it ends the stream. Waiting for that notices
+		// the end at once, and not only at the next message.
+		_ = out.RecvMsg(&peerpb.Closed{})
+		s.cancel()
+	}()
 	return c.pump(out, key, s)
 }
 
@@ -194,8 +202,12 @@
 				return err
 			}
 		default:
-			_, err := out.CloseAndRecv()
-			return err
+			if err := out.CloseSend(); err != nil {
+				return err
+			}
+			// The stream's context ends once the peer has ended the stream.
+			<-out.Context().Done()
+			return nil
 		}
 	}
 }
