--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -114,6 +114,7 @@
 		Isolate:           m.Isolate,
 		Hedge:             m.Hedge,
 		Repeatable:        m.Repeatable,
+		Life:              uint64(m.Life),
 		Priority:          m.Priority,
 	}
 }
@@ -196,6 +197,7 @@
 	out := &peerpb.SessionHandover{
 		From: string(m.From), Incarnation: uint64(m.Incarnation), Part: m.Part, Parts: m.Parts,
 		Attempt: m.Attempt,
+		Life:    uint64(m.Life),
 	}
 	for _, h := range m.Homes {
 		out.Homes = append(out.Homes, &peerpb.HandedHome{
@@ -237,6 +239,7 @@
 		Sequence:       m.Sequence,
 		LatestRevision: uint64(m.LatestRevision),
 		Convictions:    m.Convictions,
+		Known:          m.Known,
 	}
 	for _, f := range m.InForce {
 		out.InForce = append(out.InForce, &peerpb.InForce{
--- a/internal/reducer/query/scatter.go
+++ b/internal/reducer/query/scatter.go
@@ -134,6 +134,9 @@
 		Repeatable:   service.config.Policy.Repeatable,
 		Priority:     r.priority,
 	}
+	if member, known := ctx.View.Member(a.dispatcher); known {
+		dispatch.Life = member.Incarnation
+	}
 	if !r.isOrder() {
 		dispatch.Version = r.pin.Version()
 		dispatch.Shards = r.pin.Target(a.task).Shards()
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -30,6 +30,7 @@
 	Dispatch   dispatch.Settings
 	Admission  admission.Settings
 	Membership membership.Settings
+	Session    session.Settings
 	Query      query.Settings
 	// PauseThreshold is the gap in the node's own clock that counts as a pause
 	// of the process.
@@ -59,6 +60,7 @@
 			FailAfter:        membership.DefaultFailAfter,
 			HostListInterval: membership.DefaultHostListInterval,
 		},
+		Session:        session.DefaultSettings(),
 		PauseThreshold: DefaultPauseThreshold,
 		StopGrace:      DefaultStopGrace,
 	}
@@ -108,6 +110,7 @@
 		Quarantine: s.quarantine,
 	}, settings.Query)
 	s.session = session.New(s.query)
+	s.session.Configure(settings.Session)
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
 	s.ctx = step.Context{Random: rand.New(s.source), View: s.membership, Timers: &s.timers}
@@ -204,3 +207,9 @@
 // Log returns the accepted configuration entries that the node keeps, oldest
 // first.
 func (s *State) Log() []model.LogEntry { return s.config.History() }
+
+// InForceView returns what the node knows of each host's configuration, ordered
+// by host.
+func (s *State) InForceView(now model.Instant) []membership.HostRevision {
+	return s.config.InForceView(now)
+}
