Peers: frames of many messages, an introduction, and ends that are noticed

Cause: TestWholePath answered "unknown" to a resent order, "no outcome from the session's home in time". The home knew the forwarding node by name only, because the demo put hosts on the list one after another, and a reply without an address was lost. Ruled out: the frames (the tree without them failed too), the filter of earlier lives, a failed stream (no retry was made). Change: a stream begins with the sender's description; a goroutine receives on each stream and ends it with the peer; the messages that wait for a peer share a frame; the demo puts all hosts on the list before the nodes start, and is ready when every node sees all of them serve.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -58,11 +58,14 @@
 	}
 	d := &Demo{StandIns: standIns}
 	for i := range options.Nodes {
-		if err := d.startNode(ctx, options, i); err != nil {
+		if err := d.addNode(options, i); err != nil {
 			standIns.Close()
 			return nil, err
 		}
 	}
+	for _, node := range d.Nodes {
+		d.running.Go(func() { d.keep(node.Run(ctx)) })
+	}
 	if err := d.configure(ctx); err != nil {
 		standIns.Close()
 		return nil, err
@@ -70,8 +73,8 @@
 	return d, nil
 }
 
-// startNode starts one node and puts it on the host list.
-func (d *Demo) startNode(ctx context.Context, options Options, i int) error {
+// addNode opens one node's listeners and puts it on the host list.
+func (d *Demo) addNode(options Options, i int) error {
 	host := model.HostID(fmt.Sprintf("host-%d", i+1))
 	domains := options.Deployment.FailureDomains
 	client := platform.NewClient(d.StandIns.PlatformURL())
@@ -96,7 +99,6 @@
 	d.StandIns.AddHost(model.HostEntry{
 		Host: host, FailureDomain: domains[i%len(domains)], PeerAddress: node.PeerAddress(),
 	})
-	d.running.Go(func() { d.keep(node.Run(ctx)) })
 	return nil
 }
 
@@ -190,9 +192,16 @@
 // isReady reports whether a node serves.
 func isReady(dump reducer.Dump) bool { return dump.State == string(model.Serving) }
 
-// isWhole reports whether a node serves and knows what every upstream holds.
+// isWhole reports whether a node serves, sees all nodes serve, and knows what
+// every upstream holds.
 func (d *Demo) isWhole(dump reducer.Dump) bool {
-	return isReady(dump) && dump.KnownUpstreams == len(d.StandIns.Upstreams)
+	serving := 0
+	for _, member := range dump.Members {
+		if member.State == model.Serving {
+			serving++
+		}
+	}
+	return isReady(dump) && serving == len(d.Nodes) && dump.KnownUpstreams == len(d.StandIns.Upstreams)
 }
 
 // readDump reads a node's state dump.
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -23,6 +23,7 @@
 	Snapshot model.Version   `json:"snapshot"`
 	Coverage *model.Coverage `json:"coverage"`
 	Results  json.RawMessage `json:"results"`
+	Error    *model.Failure  `json:"error"`
 }
 
 // TestWholePath runs the demo over real sockets: a search over all counter
@@ -91,7 +92,7 @@
 	first := <-replies
 	for range len(d.Entry()) - 1 {
 		if next := <-replies; string(next.Results) != string(first.Results) || next.Outcome != model.Answered {
-			t.Errorf("answers %s (%s) and %s (%s) to one order", first.Results, first.Outcome, next.Results, next.Outcome)
+			t.Errorf("answers %s (%s) and %s (%s, %v) to one order", first.Results, first.Outcome, next.Results, next.Outcome, next.Error)
 		}
 	}
 	runs := 0
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,24 +2,25 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
 )
 
 // Limits of the streams.
 const (
 	// outboxMessages bounds the messages that wait for one peer.
 	outboxMessages = 4096
-	// maxFrameBytes bounds one frame.
+	// maxFrameBytes bounds one frame on the wire.
 	maxFrameBytes = 4 << 20
+	// frameMessages and frameBytes bound the messages that share a frame; the last
+	// of them may go over the bytes.
+	frameMessages = 256
+	frameBytes    = 256 << 10
 	// connectTimeout bounds the opening of a stream.
 	connectTimeout = 2 * time.Second
 	// closeTimeout bounds the sending of what is queued at the end.
@@ -56,12 +57,6 @@
 	address string
 }
 
-// stream is the sending side of one peer.
-type stream struct {
-	outbox chan message.Message
-	cancel context.CancelFunc
-}
-
 // NewClient returns a client without streams.
 func NewClient(self model.Member, creds credentials.TransportCredentials, listener Listener) *Client {
 	return &Client{
@@ -109,14 +104,20 @@
 // open starts the goroutine of a stream. The caller holds the lock.
 func (c *Client) open(key streamKey) *stream {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &stream{outbox: make(chan message.Message, outboxMessages), cancel: cancel}
+	s := &stream{
+		self:    c.self,
+		key:     key,
+		outbox:  make(chan message.Message, outboxMessages),
+		closing: c.closing,
+		cancel:  cancel,
+	}
 	c.streams[key] = s
 	c.running.Add(1)
 	go func() {
 		defer c.running.Done()
 		defer cancel()
 		// The reason for the end does not matter: what was on its way is lost.
-		_ = c.run(ctx, key, s)
+		_ = s.run(ctx, c.credentials)
 		c.mu.Lock()
 		delete(c.streams, key)
 		closed := c.closed
@@ -127,89 +128,3 @@
 	}()
 	return s
 }
-
-// run sends a stream's messages until it fails or is cancelled.
-func (c *Client) run(ctx context.Context, key streamKey, s *stream) error {
-	connection, err := grpc.NewClient("passthrough:///"+key.address,
-		grpc.WithTransportCredentials(c.credentials),
-		grpc.WithDisableRetry(),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxFrameBytes)),
-	)
-	if err != nil {
-		return fmt.Errorf("peer %s at %s: %w", key.host, key.address, err)
-	}
-	defer connection.Close()
-	out, err := c.exchange(ctx, connection)
-	if err != nil {
-		return fmt.Errorf("peer %s at %s: %w", key.host, key.address, err)
-	}
-	return c.pump(out, key, s)
-}
-
-// exchange opens the stream within the connect timeout.
-func (c *Client) exchange(ctx context.Context, connection *grpc.ClientConn) (grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed], error) {
-	streamCtx, cancel := context.WithCancel(ctx)
-	guard := time.AfterFunc(connectTimeout, cancel)
-	out, err := peerpb.NewPeerClient(connection).Exchange(streamCtx)
-	if !guard.Stop() && err == nil {
-		cancel()
-		return nil, context.DeadlineExceeded
-	}
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	// The stream's context ends with its parent, when the stream is given up.
-	context.AfterFunc(ctx, cancel)
-	return out, nil
-}
-
-// pump writes the queued messages as numbered frames until the stream ends, or
-// until the queue is empty once the client is closing.
-func (c *Client) pump(out grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed], key streamKey, s *stream) error {
-	var sequence uint64
-	for {
-		select {
-		case <-out.Context().Done():
-			return out.Context().Err()
-		case m := <-s.outbox:
-			sequence++
-			if err := c.sendFrame(out, key, sequence, m); err != nil {
-				return err
-			}
-		case <-c.closing:
-			return c.drain(out, key, s, sequence)
-		}
-	}
-}
-
-// drain writes what is queued and waits until the peer has taken it.
-func (c *Client) drain(out grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed], key streamKey, s *stream, sequence uint64) error {
-	for {
-		select {
-		case m := <-s.outbox:
-			sequence++
-			if err := c.sendFrame(out, key, sequence, m); err != nil {
-				return err
-			}
-		default:
-			_, err := out.CloseAndRecv()
-			return err
-		}
-	}
-}
-
-// sendFrame writes one message.
-func (c *Client) sendFrame(out grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed], key streamKey, sequence uint64, m message.Message) error {
-	frame := &peerpb.Frame{
-		From:        string(c.self.Host),
-		Incarnation: uint64(c.self.Incarnation),
-		Sequence:    sequence,
-		To:          string(key.host),
-	}
-	if err := encode(frame, m); err != nil {
-		return err
-	}
-	return out.Send(frame)
-}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -32,15 +32,15 @@
 func roundTrip[M message.Message](t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent := rapid.Make[M]().Draw(t, "message")
-		frame := &peerpb.Frame{}
-		if err := encode(frame, sent); err != nil {
+		encoded, err := encode(sent)
+		if err != nil {
 			t.Fatal(err)
 		}
-		wire, err := proto.Marshal(frame)
+		wire, err := proto.Marshal(encoded)
 		if err != nil {
 			t.Fatal(err)
 		}
-		received := &peerpb.Frame{}
+		received := &peerpb.Message{}
 		if err := proto.Unmarshal(wire, received); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -9,35 +9,35 @@
 	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
 )
 
-// decode returns the message in a frame; it returns *MessageError for a frame of
-// a type that this build does not know.
-func decode(frame *peerpb.Frame) (message.Message, error) {
-	switch m := frame.GetMessage().(type) {
-	case *peerpb.Frame_Dispatch:
+// decode returns a message from the wire; it returns *MessageError for a type that
+// this build does not know.
+func decode(wire *peerpb.Message) (message.Message, error) {
+	switch m := wire.GetBody().(type) {
+	case *peerpb.Message_Dispatch:
 		return decodeDispatch(m.Dispatch), nil
-	case *peerpb.Frame_Cancel:
+	case *peerpb.Message_Cancel:
 		return message.Cancel{Attempt: decodeAttempt(m.Cancel.GetAttempt())}, nil
-	case *peerpb.Frame_DispatchResult:
+	case *peerpb.Message_DispatchResult:
 		return decodeResult(m.DispatchResult), nil
-	case *peerpb.Frame_IndexReport:
+	case *peerpb.Message_IndexReport:
 		return message.IndexReport{Report: decodeReport(m.IndexReport)}, nil
-	case *peerpb.Frame_OrderForward:
+	case *peerpb.Message_OrderForward:
 		return decodeForward(m.OrderForward), nil
-	case *peerpb.Frame_OrderOutcome:
+	case *peerpb.Message_OrderOutcome:
 		return message.OrderOutcome{
 			Call:   model.CallID(m.OrderOutcome.GetCall()),
 			Answer: decodeAnswer(m.OrderOutcome.GetAnswer()),
 		}, nil
-	case *peerpb.Frame_SessionHandover:
+	case *peerpb.Message_SessionHandover:
 		return decodeHandover(m.SessionHandover), nil
-	case *peerpb.Frame_HandoverAck:
+	case *peerpb.Message_HandoverAck:
 		return message.HandoverAck{
 			Part:        m.HandoverAck.GetPart(),
 			From:        model.HostID(m.HandoverAck.GetFrom()),
 			Incarnation: model.Incarnation(m.HandoverAck.GetIncarnation()),
 			Attempt:     m.HandoverAck.GetAttempt(),
 		}, nil
-	case *peerpb.Frame_SessionMoved:
+	case *peerpb.Message_SessionMoved:
 		return message.SessionMoved{
 			From:        model.HostID(m.SessionMoved.GetFrom()),
 			Incarnation: model.Incarnation(m.SessionMoved.GetIncarnation()),
@@ -45,15 +45,15 @@
 			Generation:  m.SessionMoved.GetGeneration(),
 			Attempt:     m.SessionMoved.GetAttempt(),
 		}, nil
-	case *peerpb.Frame_Digest:
+	case *peerpb.Message_Digest:
 		return decodeDigest(m.Digest), nil
-	case *peerpb.Frame_LogPull:
+	case *peerpb.Message_LogPull:
 		return message.LogPull{After: model.Revision(m.LogPull.GetAfter())}, nil
-	case *peerpb.Frame_LogEntries:
+	case *peerpb.Message_LogEntries:
 		return decodeEntries(m.LogEntries), nil
-	case *peerpb.Frame_Suspicion:
+	case *peerpb.Message_Suspicion:
 		return decodeSuspicion(m.Suspicion), nil
-	case *peerpb.Frame_Pardon:
+	case *peerpb.Message_Pardon:
 		return message.Pardon{
 			Service:     model.ServiceName(m.Pardon.GetService()),
 			Fingerprint: model.Fingerprint(m.Pardon.GetFingerprint()),
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -16,51 +16,52 @@
 // Error implements error.
 func (e *MessageError) Error() string { return "unknown message type " + e.Type }
 
-// encode fills a frame with a message; it returns *MessageError for a type that
-// the protocol does not know.
-func encode(frame *peerpb.Frame, m message.Message) error {
+// encode returns a message as it goes on the wire; it returns *MessageError for a
+// type that the protocol does not know.
+func encode(m message.Message) (*peerpb.Message, error) {
+	out := &peerpb.Message{}
 	switch m := m.(type) {
 	case message.Dispatch:
-		frame.Message = &peerpb.Frame_Dispatch{Dispatch: encodeDispatch(m)}
+		out.Body = &peerpb.Message_Dispatch{Dispatch: encodeDispatch(m)}
 	case message.Cancel:
-		frame.Message = &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Attempt: encodeAttempt(m.Attempt)}}
+		out.Body = &peerpb.Message_Cancel{Cancel: &peerpb.Cancel{Attempt: encodeAttempt(m.Attempt)}}
 	case message.DispatchResult:
-		frame.Message = &peerpb.Frame_DispatchResult{DispatchResult: encodeResult(m)}
+		out.Body = &peerpb.Message_DispatchResult{DispatchResult: encodeResult(m)}
 	case message.IndexReport:
-		frame.Message = &peerpb.Frame_IndexReport{IndexReport: encodeReport(m.Report)}
+		out.Body = &peerpb.Message_IndexReport{IndexReport: encodeReport(m.Report)}
 	case message.OrderForward:
-		frame.Message = &peerpb.Frame_OrderForward{OrderForward: encodeForward(m)}
+		out.Body = &peerpb.Message_OrderForward{OrderForward: encodeForward(m)}
 	case message.OrderOutcome:
-		frame.Message = &peerpb.Frame_OrderOutcome{OrderOutcome: &peerpb.OrderOutcome{
+		out.Body = &peerpb.Message_OrderOutcome{OrderOutcome: &peerpb.OrderOutcome{
 			Call: uint64(m.Call), Answer: encodeAnswer(m.Answer),
 		}}
 	case message.SessionHandover:
-		frame.Message = &peerpb.Frame_SessionHandover{SessionHandover: encodeHandover(m)}
+		out.Body = &peerpb.Message_SessionHandover{SessionHandover: encodeHandover(m)}
 	case message.HandoverAck:
-		frame.Message = &peerpb.Frame_HandoverAck{HandoverAck: &peerpb.HandoverAck{
+		out.Body = &peerpb.Message_HandoverAck{HandoverAck: &peerpb.HandoverAck{
 			Part: m.Part, From: string(m.From), Incarnation: uint64(m.Incarnation), Attempt: m.Attempt,
 		}}
 	case message.SessionMoved:
-		frame.Message = &peerpb.Frame_SessionMoved{SessionMoved: &peerpb.SessionMoved{
+		out.Body = &peerpb.Message_SessionMoved{SessionMoved: &peerpb.SessionMoved{
 			From: string(m.From), Incarnation: uint64(m.Incarnation), To: string(m.To),
 			Generation: m.Generation, Attempt: m.Attempt,
 		}}
 	case message.Digest:
-		frame.Message = &peerpb.Frame_Digest{Digest: encodeDigest(m)}
+		out.Body = &peerpb.Message_Digest{Digest: encodeDigest(m)}
 	case message.LogPull:
-		frame.Message = &peerpb.Frame_LogPull{LogPull: &peerpb.LogPull{After: uint64(m.After)}}
+		out.Body = &peerpb.Message_LogPull{LogPull: &peerpb.LogPull{After: uint64(m.After)}}
 	case message.LogEntries:
-		frame.Message = &peerpb.Frame_LogEntries{LogEntries: encodeEntries(m)}
+		out.Body = &peerpb.Message_LogEntries{LogEntries: encodeEntries(m)}
 	case message.Suspicion:
-		frame.Message = &peerpb.Frame_Suspicion{Suspicion: encodeSuspicion(m)}
+		out.Body = &peerpb.Message_Suspicion{Suspicion: encodeSuspicion(m)}
 	case message.Pardon:
-		frame.Message = &peerpb.Frame_Pardon{Pardon: &peerpb.Pardon{
+		out.Body = &peerpb.Message_Pardon{Pardon: &peerpb.Pardon{
 			Service: string(m.Service), Fingerprint: uint64(m.Fingerprint),
 		}}
 	default:
-		return &MessageError{Type: fmt.Sprintf("%T", m)}
+		return nil, &MessageError{Type: fmt.Sprintf("%T", m)}
 	}
-	return nil
+	return out, nil
 }
 
 func encodeAttempt(id model.AttemptID) *peerpb.Identity {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -66,11 +66,17 @@
 		}
 		last = frame.GetSequence()
 		from = model.HostID(frame.GetFrom())
-		m, err := decode(frame)
-		if err != nil {
-			// A newer build may send types that this one does not know.
-			continue
+		s.deliver(from, frame)
+	}
+}
+
+// deliver passes a frame's messages on. A newer build may send types that this
+// one does not know; they are dropped.
+func (s *Server) deliver(from model.HostID, frame *peerpb.Frame) {
+	incarnation := model.Incarnation(frame.GetIncarnation())
+	for _, wire := range frame.GetMessages() {
+		if m, err := decode(wire); err == nil {
+			s.listener.PeerMessage(from, incarnation, m)
 		}
-		s.listener.PeerMessage(from, model.Incarnation(frame.GetIncarnation()), m)
 	}
 }
--- a/internal/peer/size.go
+++ b/internal/peer/size.go
@@ -8,12 +8,19 @@
 	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
 )
 
-// FrameBytes returns the encoded size of a message in bytes, without the
+// FrameBytes returns the encoded size of a frame with one message in bytes, without the
 // transport's own headers. It returns *MessageError for an unknown type.
 func FrameBytes(from model.Member, to model.HostID, m message.Message) (int, error) {
-	frame := &peerpb.Frame{From: string(from.Host), Incarnation: uint64(from.Incarnation), Sequence: 1, To: string(to)}
-	if err := encode(frame, m); err != nil {
+	encoded, err := encode(m)
+	if err != nil {
 		return 0, err
 	}
+	frame := &peerpb.Frame{
+		From:        string(from.Host),
+		Incarnation: uint64(from.Incarnation),
+		Sequence:    1,
+		To:          string(to),
+		Messages:    []*peerpb.Message{encoded},
+	}
 	return proto.Size(frame), nil
 }
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,145 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
+)
+
+// stream is the sending side of one peer.
+type stream struct {
+	self   model.Member
+	key    streamKey
+	outbox chan message.Message
+	// closing is closed when the stream is to end after its last message.
+	closing  <-chan struct{}
+	cancel   context.CancelFunc
+	out      grpc.ClientStreamingClient[peerpb.Frame, peerpb.Closed]
+	sequence uint64
+}
+
+// run sends the stream's messages until it fails or is cancelled.
+func (s *stream) run(ctx context.Context, creds credentials.TransportCredentials) error {
+	connection, err := grpc.NewClient("passthrough:///"+s.key.address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxFrameBytes)),
+	)
+	if err != nil {
+		return fmt.Errorf("peer %s at %s: %w", s.key.host, s.key.address, err)
+	}
+	defer connection.Close()
+	if err := s.open(ctx, connection); err != nil {
+		return fmt.Errorf("peer %s at %s: %w", s.key.host, s.key.address, err)
+	}
+	return s.pump(s.watch())
+}
+
+// open opens the stream within the connect timeout.
+func (s *stream) open(ctx context.Context, connection *grpc.ClientConn) error {
+	guard := time.AfterFunc(connectTimeout, s.cancel)
+	out, err := peerpb.NewPeerClient(connection).Exchange(ctx)
+	if err != nil {
+		return err
+	}
+	if !guard.Stop() {
+		return context.DeadlineExceeded
+	}
+	s.out = out
+	return nil
+}
+
+// watch returns a channel that gets the reason when the stream ends. gRPC tells
+// the end of a stream only to who receives on it, and the peer sends nothing
+// but its end.
+func (s *stream) watch() <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- s.out.RecvMsg(&peerpb.Closed{}) }()
+	return ended
+}
+
+// pump writes the queued messages as numbered frames until the stream ends, or
+// until the queue is empty once the client is closing.
+func (s *stream) pump(ended <-chan error) error {
+	if err := s.send(s.introduction()); err != nil {
+		return err
+	}
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case m := <-s.outbox:
+			if err := s.send(m); err != nil {
+				return err
+			}
+		case <-s.closing:
+			return s.drain(ended)
+		}
+	}
+}
+
+// introduction is the first message of a stream. A peer that has not heard of
+// this node yet learns from it where to send its replies; any real digest
+// outranks it.
+func (s *stream) introduction() message.Message {
+	member := s.self
+	member.State = model.Starting
+	return message.Digest{Member: member}
+}
+
+// drain writes what is queued and waits until the peer has taken it.
+func (s *stream) drain(ended <-chan error) error {
+	for len(s.outbox) > 0 {
+		if err := s.send(<-s.outbox); err != nil {
+			return err
+		}
+	}
+	if err := s.out.CloseSend(); err != nil {
+		return err
+	}
+	return <-ended
+}
+
+// send writes a message, and with it those that are queued already, as the next
+// frame.
+func (s *stream) send(first message.Message) error {
+	s.sequence++
+	frame := &peerpb.Frame{
+		From:        string(s.self.Host),
+		Incarnation: uint64(s.self.Incarnation),
+		Sequence:    s.sequence,
+		To:          string(s.key.host),
+	}
+	size := 0
+	for m, ok := first, true; ok; m, ok = s.next(len(frame.Messages), size) {
+		encoded, err := encode(m)
+		if err != nil {
+			return err
+		}
+		size += proto.Size(encoded)
+		frame.Messages = append(frame.Messages, encoded)
+	}
+	return s.out.Send(frame)
+}
+
+// next returns a queued message, unless there is none or the frame is full.
+func (s *stream) next(count, size int) (message.Message, bool) {
+	if count >= frameMessages || size >= frameBytes {
+		return nil, false
+	}
+	select {
+	case m := <-s.outbox:
+		return m, true
+	default:
+		return nil, false
+	}
+}
