--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -32,7 +33,11 @@
 		Dir:   "testdata/script",
 		Setup: setFreePorts,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"waitfor": waitFor,
+			"waitfor":      waitFor,
+			"startdemo":    startDemo,
+			"page":         runPage,
+			"certificates": makeCertificates,
+			"waitfortls":   waitForTLS,
 		},
 	})
 }
@@ -50,6 +55,11 @@
 		defer listener.Close()
 		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), listener.Addr().String())
 	}
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		return err
+	}
+	env.Setenv("ROOT", root)
 	return nil
 }
 
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -144,6 +144,9 @@
 		FreeSlots: int(r.GetFreeSlots()),
 		Queued:    int(r.GetQueued()),
 		Limit:     int(r.GetLimit()),
+
+		ReportedInFlight: int(r.GetReportedInFlight()),
+		ReportedAge:      time.Duration(r.GetReportedAgeNanos()),
 	}
 	for _, h := range r.GetHoldings() {
 		holding := model.Holding{
@@ -244,6 +247,9 @@
 		Convictions:    m.GetConvictions(),
 		Known:          m.GetKnown(),
 	}
+	if m.GetHolders() != nil {
+		out.Holders = message.Holders{View: m.GetHolders().GetView(), Bits: m.GetHolders().GetBits()}
+	}
 	for _, f := range m.GetInForce() {
 		out.InForce = append(out.InForce, message.InForce{
 			Host:        model.HostID(f.GetHost()),
--- a/internal/reducer/snapshot/snapshot_test.go
+++ b/internal/reducer/snapshot/snapshot_test.go
@@ -98,7 +98,7 @@
 			for _, r := range test.reports {
 				c.HandleReport(ctx, r)
 			}
-			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]})
+			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld)
 			if pin.Version() != test.want || pin.Len() != test.total {
 				t.Fatalf("pinned %d with %d shards", pin.Version(), pin.Len())
 			}
@@ -106,12 +106,74 @@
 	}
 }
 
+func TestPinWaitsUntilAVersionIsWidelyHeld(t *testing.T) {
+	all := []model.ShardID{"a", "b"}
+	older := model.Holding{Version: 1, Shards: halves("a", "b"), Holds: all}
+	newer := model.Holding{Version: 2, Shards: halves("a", "b"), Holds: all}
+	want := []model.Version{1, 1, 2, 2}
+	for rolled, version := range want {
+		c, ctx := catalogOf(3)
+		for i := range 3 {
+			if i < rolled {
+				c.HandleReport(ctx, report(i, 1, newer))
+			} else {
+				c.HandleReport(ctx, report(i, 1, older))
+			}
+		}
+		services := []*model.Service{&ctx.Config.Services[0]}
+		if got := c.Pin(ctx, services, WidelyHeld).Version(); got != version {
+			t.Errorf("pinned %d when %d of 3 have the newer version, want %d", got, rolled, version)
+		}
+		if got := c.Pin(ctx, services, Newest).Version(); rolled > 0 && got != 2 {
+			t.Errorf("the baseline pinned %d when %d of 3 have the newer version", got, rolled)
+		}
+	}
+}
+
+func TestCatalogFollowsTheConfiguration(t *testing.T) {
+	c, ctx := catalogOf(2)
+	whole := model.Holding{Version: 1, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}}
+	for i := range 3 {
+		c.HandleReport(ctx, report(i, 1, whole))
+	}
+	holders := func(want int) {
+		t.Helper()
+		pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld)
+		if got := len(pin.Target(0).Holders); got != want {
+			t.Errorf("%d holders, want %d", got, want)
+		}
+	}
+	holders(2)
+	first := ctx.Config.Services[0]
+	change := func(upstreams ...model.Upstream) {
+		changed := first
+		changed.Upstreams = upstreams
+		ctx.Config = &model.Config{Services: []model.Service{changed}}
+	}
+	change(first.Upstreams[0], first.Upstreams[1], model.Upstream{ID: "s/u2"})
+	holders(3)
+	change(first.Upstreams[0])
+	holders(1)
+	ctx.Config = &model.Config{}
+	if _, failure := c.Resolve(ctx, []string{"s"}); failure == nil {
+		t.Error("a dropped service is still found")
+	}
+	change(first.Upstreams...)
+	holders(2)
+	ctx.Now = ctx.Now.Add(2 * orphanTimeout)
+	change(first.Upstreams...)
+	holders(2)
+	if _, ok := c.Report("s/u2"); ok {
+		t.Error("a report of an upstream in no configuration is kept for good")
+	}
+}
+
 func TestDrainingAndUnreachableAreNotCounted(t *testing.T) {
 	c, ctx := catalogOf(1)
 	r := report(0, 1, model.Holding{Version: 1, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}})
 	r.Draining = true
 	c.HandleReport(ctx, r)
-	if pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}); pin.Searchable() != 0 {
+	if pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld); pin.Searchable() != 0 {
 		t.Fatalf("%d shards of a draining upstream", pin.Searchable())
 	}
 }
@@ -145,7 +207,7 @@
 			for _, r := range rapid.Permutation(reports).Draw(t, "order") {
 				c.HandleReport(ctx, r)
 			}
-			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]})
+			pin := c.Pin(ctx, []*model.Service{&ctx.Config.Services[0]}, WidelyHeld)
 			chosen = append(chosen, pin.Target(0).Name)
 			for i := range pin.Len() {
 				if len(pin.Target(i).Holders) == 0 {
@@ -163,7 +225,7 @@
 	c, ctx := catalogOf(1)
 	c.HandleReport(ctx, report(0, 1, model.Holding{Version: 3, Shards: halves("a", "b"), Holds: []model.ShardID{"a", "b"}}))
 	services := []*model.Service{&ctx.Config.Services[0]}
-	pin, other := c.Pin(ctx, services), c.Pin(ctx, services)
+	pin, other := c.Pin(ctx, services, WidelyHeld), c.Pin(ctx, services, WidelyHeld)
 	row := []model.Row{[]byte("1")}
 	for name, part := range map[string]func() (Part, error){
 		"version": func() (Part, error) { return pin.Part(0, 2, []model.ShardID{"a"}, row) },
