--- a/internal/reducer/dispatch/status.go
+++ b/internal/reducer/dispatch/status.go
@@ -138,6 +138,14 @@
 	s.proceed(ctx, c.lane)
 }
 
+// HandleHostList takes in the platform's list. A list that could not be read
+// says nothing: an upstream that was leaving still is.
+func (s *State) HandleHostList(ctx *step.Context, e event.HostList) {
+	if !e.Failed {
+		s.HandleLeaving(ctx, e.DrainingUpstreams)
+	}
+}
+
 // HandleLeaving stops new work to upstreams that the platform says are leaving.
 func (s *State) HandleLeaving(ctx *step.Context, upstreams []model.UpstreamID) {
 	s.listed = make(map[model.UpstreamID]bool, len(upstreams))
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -70,7 +70,7 @@
 	switch e := e.(type) {
 	case event.HostList:
 		s.viewChanged(ctx, s.membership.HandleHostList(ctx, e))
-		s.dispatch.HandleLeaving(ctx, e.DrainingUpstreams)
+		s.dispatch.HandleHostList(ctx, e)
 	case event.StoreResult:
 		s.configChanged(ctx, s.config.HandleStoreResult(ctx, e))
 	}
