--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -29,6 +29,7 @@
 		lostNode(),
 		rollingVersions(),
 		changes(),
+		crashes(),
 		stops(),
 		control(),
 	}
--- a/internal/reducer/quarantine/quarantine.go
+++ b/internal/reducer/quarantine/quarantine.go
@@ -62,6 +62,13 @@
 	metricRefusals    effect.Metric = "quarantine_refusals_total"
 )
 
+// Settings switch the quarantine.
+type Settings struct {
+	// Off lets all content run as if no upstream had ever crashed, but for the
+	// operators' convictions. It is the baseline of experiments.
+	Off bool
+}
+
 // content names a request's service and content.
 type content struct {
 	service model.ServiceName
@@ -88,12 +95,14 @@
 
 // State holds suspects and convictions.
 type State struct {
+	settings Settings
 	subjects map[content]*subject
 	// operators holds the operators' convictions in force, with their ends; zero
 	// means never.
 	operators map[content]model.Instant
 	// pardons holds the revision of the latest pardon of a content.
 	pardons  map[content]model.Revision
+	proven   proven
 	sweeping bool
 	// hash sums up the convictions in force on the nodes' own evidence.
 	hash uint64
@@ -107,10 +116,14 @@
 		subjects:  make(map[content]*subject),
 		operators: make(map[content]model.Instant),
 		pardons:   make(map[content]model.Revision),
+		proven:    proven{known: make(map[model.Fingerprint]bool)},
 		sent:      make(map[model.HostID]model.Instant),
 	}
 }
 
+// Configure replaces the default settings.
+func (s *State) Configure(settings Settings) { s.settings = settings }
+
 // Check returns the verdict on a content.
 func (s *State) Check(ctx *step.Context, service model.ServiceName, print model.Fingerprint) Verdict {
 	c := content{service, print}
@@ -168,6 +181,9 @@
 // ran alone; a neighbour of a crashing request is never convicted with it. It
 // reports whether the crash is new.
 func (s *State) count(ctx *step.Context, c content, attempt model.AttemptID, alone bool) bool {
+	if s.settings.Off {
+		return false
+	}
 	found := s.ensure(ctx, c)
 	if found == nil || !found.add(attempt) {
 		return false
