Scripts listen below the range of outgoing ports

Cause: TestScripts/tls failed under load: 'bind: address already in use'; an outgoing connection had taken the port between its choice and the node's start. Change: the scripts' ports come from 12000 to 31999, counted on by each.

--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,15 +47,39 @@
 // freePorts is how many addresses a script may listen on: $ADDRESS1 and so on.
 const freePorts = 8
 
+// Ports that scripts listen on. They lie below the range from which systems
+// commonly take the ports of outgoing connections, so that none takes a port
+// between its choice and its use.
+const (
+	lowestPort  = 12000
+	highestPort = 31999
+)
+
+// lastPort is the port that was given out last; scripts run side by side, and so
+// may other test processes, which start elsewhere.
+var lastPort atomic.Int64
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	for range highestPort - lowestPort {
+		port := lowestPort + (int64(os.Getpid())*101+lastPort.Add(1))%(highestPort-lowestPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		return listener.Addr().String(), listener.Close()
+	}
+	return "", errors.New("no free port")
+}
+
 // setFreePorts gives a script loopback addresses that are free.
 func setFreePorts(env *testscript.Env) error {
 	for i := range freePorts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		defer listener.Close()
-		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), listener.Addr().String())
+		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), address)
 	}
 	root, err := filepath.Abs("../..")
 	if err != nil {
