An entry that does not apply refuses its change; conflicts name the winner by type

Cause: a text that passed the check as a script but not as a text was written again and again: TestSameChangeSentTwice found 685 entries for one change (a conviction whose end lay in 1970, in virtual time). Change: the text itself is checked as the nodes apply it; an entry that does not apply counts as a refusal of its change, so that no proposer tries on; StatementResult.Winner and the API's winner; files of the proposer split by job; tests for the order of arrival, strange entries and resends.

--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -80,6 +80,8 @@
 	Tables   []model.Table           `json:"tables,omitempty"`
 	Text     string                  `json:"text,omitempty"`
 	Error    *model.Failure          `json:"error,omitempty"`
+	// Winner is the change that came first, when the error is a conflict.
+	Winner *effect.Winner `json:"winner,omitempty"`
 }
 
 // limit bounds the rate of calls.
@@ -152,6 +154,7 @@
 		Tables:   result.Tables,
 		Text:     result.Text,
 		Error:    result.Failure,
+		Winner:   result.Winner,
 	})
 }
 
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -138,6 +138,15 @@
 	// Text holds a printed configuration or difference.
 	Text    string
 	Failure *model.Failure
+	// Winner is the change that came first, when the failure is a conflict.
+	Winner *Winner
+}
+
+// Winner names the change that won a conflict.
+type Winner struct {
+	Revision model.Revision     `json:"revision"`
+	Operator model.OperatorName `json:"operator"`
+	Change   model.ChangeID     `json:"change_id"`
 }
 
 // StatementOutcome tells what became of a statement.
--- a/internal/reducer/config/cluster_test.go
+++ b/internal/reducer/config/cluster_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -51,11 +52,11 @@
 	t.Helper()
 	var got *effect.StatementResult
 	c.Statement(host, event.Statement{Text: text}, func(r effect.StatementResult) { got = &r })
-	for range 100 {
+	for range 500 {
 		if got != nil {
 			return *got
 		}
-		c.RunFor(100 * time.Millisecond)
+		c.RunFor(20 * time.Millisecond)
 	}
 	t.Fatalf("no reply to %q", text)
 	return effect.StatementResult{}
@@ -75,3 +76,72 @@
 		}
 	}
 }
+
+func TestConflictNamesTheWinner(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	c.change(t, "host-1", "create user u1")
+	c.Statement("host-2", event.Statement{Text: "create user u2", Operator: "winner", Change: "first"}, func(effect.StatementResult) {})
+	c.RunFor(time.Second)
+	lost := c.change(t, "host-3", "create user u3 if revision 1")
+	want := effect.Winner{Revision: 2, Operator: "winner", Change: "first"}
+	if lost.Outcome != effect.NotAccepted || lost.Failure.Code != model.CodeConflict || lost.Winner == nil || *lost.Winner != want {
+		t.Errorf("result = %+v, want a conflict lost to %+v", lost, want)
+	}
+	fine := c.change(t, "host-3", "create user u3 if revision 2")
+	if fine.Outcome != effect.Accepted {
+		t.Errorf("result = %+v, want accepted", fine)
+	}
+}
+
+func TestSameChangeSentTwiceIsOneChange(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	var results []effect.StatementResult
+	for _, host := range c.Hosts() {
+		e := event.Statement{Text: "create user u1", Change: "same"}
+		if host == "host-4" {
+			c.RunFor(3 * time.Second)
+		}
+		c.Statement(host, e, func(r effect.StatementResult) { results = append(results, r) })
+	}
+	c.RunFor(3 * time.Second)
+	for _, r := range results {
+		if r.Outcome != effect.Accepted || r.Revision != results[0].Revision {
+			t.Errorf("results %+v and %+v of one change", results[0], r)
+		}
+	}
+	if len(results) != 4 {
+		t.Errorf("%d results, want 4", len(results))
+	}
+}
+
+// TestEntryThatDoesNotApplyOnlyTakesItsRevision puts an entry into the log that
+// no node of this version would write.
+func TestEntryThatDoesNotApplyOnlyTakesItsRevision(t *testing.T) {
+	c := newCluster(1, 4)
+	c.RunFor(2 * time.Second)
+	entry, err := json.Marshal(model.LogEntry{Revision: 1, Change: "strange", Text: "create nothing"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for revision, value := range map[int][]byte{1: entry, 2: []byte("no entry at all")} {
+		c.store.Store.Apply(c.Now(), effect.CallStore{
+			Verb: effect.StoreCreate, Key: fmt.Sprintf("config/log/%020d", revision), Value: value,
+		})
+	}
+	if got := c.change(t, "host-2", "create user u1"); got.Outcome != effect.Accepted || got.Revision != 3 {
+		t.Errorf("result = %+v, want accepted at revision 3", got)
+	}
+	c.Statement("host-3", event.Statement{Text: "create user u2", Change: "strange"}, func(r effect.StatementResult) {
+		if r.Outcome != effect.NotAccepted {
+			t.Errorf("result = %+v, want the refused change not accepted", r)
+		}
+	})
+	c.RunFor(time.Second)
+	for _, host := range c.Hosts() {
+		if got := c.State(host).Config().Revision; got != 3 {
+			t.Errorf("%s is at revision %d, want 3", host, got)
+		}
+	}
+}
--- a/internal/reducer/config/history.go
+++ b/internal/reducer/config/history.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// apply puts the next entry in force. A fence, a change that was accepted
-// before, and one that does not apply only occupy their revisions: each node
-// decides so from the log alone.
+// apply puts the next entry in force. A fence, a change that is known already,
+// and one that does not apply only occupy their revisions: each node decides so
+// from the log alone.
 func (h *history) apply(entry model.LogEntry) {
 	config := *h.config
 	next := &config
@@ -107,21 +107,21 @@
 }
 
 // effectOf returns the configuration after an entry whose change is new, and
-// remembers the change. A fence with a change's identifier refuses the change.
+// remembers the change. A fence with a change's identifier refuses the change, and
+// so does an entry that does not apply.
 func (h *history) effectOf(entry model.LogEntry) *model.Config {
 	config := *h.config
 	if entry.IsFence() {
 		if entry.Change != "" {
-			h.remember(entry)
+			h.remember(entry, true)
 		}
 		return &config
 	}
 	changed, failure := evaluate(h.config, entry.Text)
-	if failure != nil {
-		return &config
+	h.remember(entry, failure != nil)
+	if failure == nil {
+		config = *changed
 	}
-	h.remember(entry)
-	config = *changed
 	return &config
 }
 
@@ -134,12 +134,12 @@
 	return statement.Apply(config, script.Changes)
 }
 
-// remember records a change.
-func (h *history) remember(entry model.LogEntry) {
+// remember records a change that was accepted or refused.
+func (h *history) remember(entry model.LogEntry, refused bool) {
 	h.changes = append(h.changes, changeRecord{
 		Revision: entry.Revision, Change: entry.Change, Operator: entry.Operator, Accepted: entry.Accepted,
 		TextHash: hashText(entry.Text),
-		Refused:  entry.IsFence(),
+		Refused:  refused,
 	})
 	h.size += len(entry.Text)
 	if excess := len(h.changes) - rememberedChanges; excess > 0 {
--- a/internal/reducer/config/proposal.go
+++ b/internal/reducer/config/proposal.go
@@ -60,6 +60,8 @@
 	shared bool
 	// failure is why the change is being refused; nil while it is not.
 	failure *model.Failure
+	// winner is the change that a conflict was lost to; nil if there was none.
+	winner *effect.Winner
 	// read is the number of the reading that the stage waits for.
 	read uint64
 	// retryAt is when a rejected write is tried again; zero means not waiting.
--- a/internal/reducer/config/propose.go
+++ b/internal/reducer/config/propose.go
@@ -74,18 +74,6 @@
 	s.startFirst(ctx)
 }
 
-// dryRun tells what a change would do to the configuration in force here.
-func (s *State) dryRun(ctx *step.Context, e event.Statement, script statement.Script) {
-	next, failure := s.validate(script)
-	if failure != nil {
-		replyNotAccepted(ctx, e, failure)
-		return
-	}
-	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
-		Outcome: effect.DryRun, Revision: s.history.applied(), Text: statement.Diff(s.history.config, next),
-	}})
-}
-
 // join adds a call to a proposal under way. Another text under the same
 // identifier is another change, which is refused.
 func (s *State) join(ctx *step.Context, p *proposal, e event.Statement) {
@@ -160,7 +148,7 @@
 		p.failure = model.Failf(model.CodeStoreUnavailable, "the store did not answer in time")
 	}
 	if p.failure == nil {
-		_, p.failure = s.validate(p.script)
+		_, p.failure, p.winner = s.validate(p.text, p.script)
 	}
 	if p.failure != nil {
 		s.refuse(ctx, p)
@@ -191,52 +179,12 @@
 		return false
 	}
 	if result.Outcome == effect.NotAccepted && p.failure != nil {
-		result.Failure = p.failure
+		result.Failure, result.Winner = p.failure, p.winner
 	}
 	s.finish(ctx, p, result)
 	return true
 }
 
-// resultOf returns the result of a change that is in the log. Another text under
-// a known identifier is another change, which is refused.
-func (s *State) resultOf(id model.ChangeID, text string) (effect.StatementResult, bool) {
-	record, ok := s.history.change(id)
-	if !ok {
-		return effect.StatementResult{}, false
-	}
-	if record.Refused {
-		return effect.StatementResult{Outcome: effect.NotAccepted, Change: id, Failure: record.refusal()}, true
-	}
-	if record.TextHash != hashText(text) {
-		return effect.StatementResult{
-			Outcome: effect.NotAccepted, Change: id,
-			Failure: model.Failf(model.CodeConflict, "revision %d by operator %q has the same change id %s and another text",
-				record.Revision, record.Operator, id),
-		}, true
-	}
-	return effect.StatementResult{Outcome: effect.Accepted, Revision: record.Revision, Change: id}, true
-}
-
-// validate returns the configuration after the change, or why it is refused.
-func (s *State) validate(script statement.Script) (*model.Config, *model.Failure) {
-	if winner, changed := s.history.changedSince(script.Base); script.Base > 0 && changed {
-		return nil, model.Failf(model.CodeConflict, "revision %d by operator %q (change %s) came after revision %d",
-			winner.Revision, winner.Operator, winner.Change, script.Base)
-	}
-	if script.Base > s.history.applied() {
-		return nil, model.Failf(model.CodeConflict, "there is no revision %d yet: the newest is %d",
-			script.Base, s.history.applied())
-	}
-	next, failure := statement.Apply(s.history.config, script.Changes)
-	if failure != nil {
-		return nil, failure
-	}
-	if failure := s.history.checkSize(next); failure != nil {
-		return nil, failure
-	}
-	return next, nil
-}
-
 // write creates the target's key.
 func (s *State) write(ctx *step.Context, p *proposal, why purpose, entry model.LogEntry) {
 	value, err := json.Marshal(entry)
@@ -331,68 +279,3 @@
 		}
 	}
 }
-
-// expire ends the operator's calls with what is true at the deadline.
-func (s *State) expire(ctx *step.Context, p *proposal) {
-	if !p.isUndecided() {
-		s.finish(ctx, p, notAccepted(p, model.Failf(model.CodeStoreUnavailable,
-			"the store did not answer in time; nothing was written")))
-		return
-	}
-	p.shared = true
-	p.reply(ctx, effect.StatementResult{
-		Outcome: effect.ChangeUnknown,
-		Change:  p.change,
-		Failure: model.Failf(model.CodeStoreUnavailable,
-			"the outcome is not known yet; ask later with: show change %s", p.change),
-	})
-}
-
-// finish ends a proposal and begins the next one.
-func (s *State) finish(ctx *step.Context, p *proposal, result effect.StatementResult) {
-	p.reply(ctx, result)
-	ctx.Count(metricChanges, string(result.Outcome))
-	s.proposer.queue = slices.DeleteFunc(s.proposer.queue, func(other *proposal) bool { return other == p })
-	if result.Outcome != effect.Accepted {
-		s.proposer.outcomes = append(s.proposer.outcomes, ChangeStatus{
-			Change: p.change, Operator: p.operator, Outcome: result.Outcome, Failure: result.Failure,
-		})
-		excess := max(0, len(s.proposer.outcomes)-keptOutcomes)
-		s.proposer.outcomes = slices.Delete(s.proposer.outcomes, 0, excess)
-	}
-	s.startFirst(ctx)
-}
-
-// reply ends the operator's calls.
-func (p *proposal) reply(ctx *step.Context, result effect.StatementResult) {
-	for _, call := range p.calls {
-		ctx.Emit(effect.ReplyStatement{Call: call, Result: result})
-	}
-	p.calls = nil
-}
-
-// notAccepted is the result of a change that is not in the log and can no longer
-// get there.
-func notAccepted(p *proposal, failure *model.Failure) effect.StatementResult {
-	return effect.StatementResult{Outcome: effect.NotAccepted, Change: p.change, Failure: failure}
-}
-
-// replyOverloaded refuses a change that finds the queue full. Of a shared one
-// another node may know more.
-func replyOverloaded(ctx *step.Context, e event.Statement, shared bool) {
-	failure := model.Failf(model.CodeOverloaded, "too many changes wait on this node")
-	if !shared {
-		replyNotAccepted(ctx, e, failure)
-		return
-	}
-	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
-		Outcome: effect.ChangeUnknown, Change: e.Change, Failure: failure,
-	}})
-}
-
-// replyNotAccepted refuses a statement that never became a proposal.
-func replyNotAccepted(ctx *step.Context, e event.Statement, failure *model.Failure) {
-	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
-		Outcome: effect.NotAccepted, Change: e.Change, Failure: failure,
-	}})
-}
--- /dev/null
+++ b/internal/reducer/config/validate.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+	"github.com/hawthorntack/hawthorntack/internal/statement"
+)
+
+// dryRun tells what a change would do to the configuration in force here.
+func (s *State) dryRun(ctx *step.Context, e event.Statement, script statement.Script) {
+	next, failure, winner := s.validate(e.Text, script)
+	if failure != nil {
+		ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
+			Outcome: effect.NotAccepted, Change: e.Change, Failure: failure, Winner: winner,
+		}})
+		return
+	}
+	ctx.Emit(effect.ReplyStatement{Call: e.Call, Result: effect.StatementResult{
+		Outcome: effect.DryRun, Revision: s.history.applied(), Text: statement.Diff(s.history.config, next),
+	}})
+}
+
+// resultOf returns the result of a change that is in the log. Another text under
+// a known identifier is another change, which is refused.
+func (s *State) resultOf(id model.ChangeID, text string) (effect.StatementResult, bool) {
+	record, ok := s.history.change(id)
+	if !ok {
+		return effect.StatementResult{}, false
+	}
+	if record.Refused {
+		return effect.StatementResult{Outcome: effect.NotAccepted, Change: id, Failure: record.refusal()}, true
+	}
+	if record.TextHash != hashText(text) {
+		return effect.StatementResult{
+			Outcome: effect.NotAccepted, Change: id,
+			Failure: model.Failf(model.CodeConflict, "revision %d by operator %q has the same change id %s and another text",
+				record.Revision, record.Operator, id),
+		}, true
+	}
+	return effect.StatementResult{Outcome: effect.Accepted, Revision: record.Revision, Change: id}, true
+}
+
+// validate returns the configuration after the change, or why it is refused, and
+// in a conflict the change that came first.
+func (s *State) validate(text string, script statement.Script) (*model.Config, *model.Failure, *effect.Winner) {
+	if failure, winner := s.checkBase(script.Base); failure != nil {
+		return nil, failure, winner
+	}
+	next, failure := statement.Apply(s.history.config, script.Changes)
+	if failure != nil {
+		return nil, failure, nil
+	}
+	// The nodes apply the text: it must mean the same as the script.
+	if _, failure := evaluate(s.history.config, text); failure != nil {
+		return nil, failure, nil
+	}
+	if failure := s.history.checkSize(next); failure != nil {
+		return nil, failure, nil
+	}
+	return next, nil, nil
+}
+
+// checkBase refuses a change that is based on another revision than the newest
+// change. Zero means any revision.
+func (s *State) checkBase(base model.Revision) (*model.Failure, *effect.Winner) {
+	if base == 0 {
+		return nil, nil
+	}
+	if last, changed := s.history.changedSince(base); changed {
+		failure := model.Failf(model.CodeConflict, "revision %d by operator %q (change %s) came after revision %d",
+			last.Revision, last.Operator, last.Change, base)
+		return failure, &effect.Winner{Revision: last.Revision, Operator: last.Operator, Change: last.Change}
+	}
+	if base > s.history.applied() {
+		return model.Failf(model.CodeConflict, "there is no revision %d yet: the newest is %d", base, s.history.applied()), nil
+	}
+	return nil, nil
+}
