--- a/internal/reducer/query/settings.go
+++ b/internal/reducer/query/settings.go
@@ -15,6 +15,8 @@
 	// RandomReplica chooses among the usable replicas at random, without regard
 	// to slots, latencies or failure domains.
 	RandomReplica bool
+	// NoProbe scatters searches of unknown content at once, without a canary.
+	NoProbe bool
 	// Preference chooses among the versions of the greatest coverage. Newest is
 	// the baseline of experiment M5.
 	Preference snapshot.Preference
