Scripts listen on ports that no other socket is given

Change: scripts take ports from 20,000 to 31,999, below the range of ports that are given to sockets which ask for any. The scripts check the same as before.

--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,15 +46,48 @@
 // freePorts is how many addresses a script may listen on: $ADDRESS1 and so on.
 const freePorts = 8
 
+// firstPort and lastPort bound the ports of scripts. They lie below the ports
+// that the kernel gives to sockets which ask for any, so that no such socket
+// takes a script's port before the script's process listens on it.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// nextPort is the next port to try. Processes begin at different ones.
+var nextPort atomic.Uint32
+
+// freeAddress returns a loopback address that nobody listens on and that no
+// other script of this process was given.
+func freeAddress() (string, error) {
+	for range lastPort - firstPort {
+		offset := (uint32(os.Getpid())*freePorts + nextPort.Add(1)) % (lastPort - firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, listener.Close()
+	}
+	return "", noFreePortError{}
+}
+
+// noFreePortError reports that all ports of scripts are taken.
+type noFreePortError struct{}
+
+// Error implements error.
+func (noFreePortError) Error() string {
+	return fmt.Sprintf("all ports from %d to %d are taken", firstPort, lastPort)
+}
+
 // setFreePorts gives a script loopback addresses that are free.
 func setFreePorts(env *testscript.Env) error {
 	for i := range freePorts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		defer listener.Close()
-		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), listener.Addr().String())
+		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), address)
 	}
 	root, err := filepath.Abs("../..")
 	if err != nil {
