--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -47,29 +46,38 @@
 // freePorts is how many addresses a script may listen on: $ADDRESS1 and so on.
 const freePorts = 8
 
-// Ports that scripts listen on. They lie below the range from which systems
-// commonly take the ports of outgoing connections, so that none takes a port
-// between its choice and its use.
+// firstPort and lastPort bound the ports of scripts. They lie below the ports
+// that the kernel gives to sockets which ask for any, so that no such socket
+// takes a script's port before the script's process listens on it.
 const (
-	lowestPort  = 12000
-	highestPort = 31999
+	firstPort = 20000
+	lastPort  = 32000
 )
 
-// lastPort is the port that was given out last; scripts run side by side, and so
-// may other test processes, which start elsewhere.
-var lastPort atomic.Int64
+// nextPort is the next port to try. Processes begin at different ones.
+var nextPort atomic.Uint32
 
-// freeAddress returns a loopback address that nobody listens on.
+// freeAddress returns a loopback address that nobody listens on and that no
+// other script of this process was given.
 func freeAddress() (string, error) {
-	for range highestPort - lowestPort {
-		port := lowestPort + (int64(os.Getpid())*101+lastPort.Add(1))%(highestPort-lowestPort)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	for range lastPort - firstPort {
+		offset := (uint32(os.Getpid())*freePorts + nextPort.Add(1)) % (lastPort - firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		return listener.Addr().String(), listener.Close()
+		return address, listener.Close()
 	}
-	return "", errors.New("no free port")
+	return "", noFreePortError{}
+}
+
+// noFreePortError reports that all ports of scripts are taken.
+type noFreePortError struct{}
+
+// Error implements error.
+func (noFreePortError) Error() string {
+	return fmt.Sprintf("all ports from %d to %d are taken", firstPort, lastPort)
 }
 
 // setFreePorts gives a script loopback addresses that are free.
