Scripts: ports below the ephemeral range

Cause: 'address already in use' in the script of two nodes: a stand-in upstream without a port of its own was given one that the script had chosen. Change: chosen ports lie where the system gives none away; the checks are as they were.

--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,15 +46,41 @@
 // freePorts is how many addresses a script may listen on: $ADDRESS1 and so on.
 const freePorts = 8
 
+// Ports for listeners of scripts lie below those that the system gives to
+// connections and to listeners without a port, so that none of these takes one
+// between its choice and its use.
+const (
+	lowestPort = 20000
+	portCount  = 12000
+)
+
+// nextPort is the next port to try, counted from lowestPort. Test processes that
+// run side by side begin at different ports.
+var nextPort = uint32(os.Getpid() * 64)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	var last error
+	for range portCount {
+		port := lowestPort + atomic.AddUint32(&nextPort, 1)%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
+		last = err
+	}
+	return "", last
+}
+
 // setFreePorts gives a script loopback addresses that are free.
 func setFreePorts(env *testscript.Env) error {
 	for i := range freePorts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		defer listener.Close()
-		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), listener.Addr().String())
+		env.Setenv(fmt.Sprintf("ADDRESS%d", i+1), address)
 	}
 	root, err := filepath.Abs("../..")
 	if err != nil {
