--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -46,31 +46,38 @@
 // freePorts is how many addresses a script may listen on: $ADDRESS1 and so on.
 const freePorts = 8
 
-// Ports for listeners of scripts lie below those that the system gives to
-// connections and to listeners without a port, so that none of these takes one
-// between its choice and its use.
+// firstPort and lastPort bound the ports of scripts. They lie below the ports
+// that the kernel gives to sockets which ask for any, so that no such socket
+// takes a script's port before the script's process listens on it.
 const (
-	lowestPort = 20000
-	portCount  = 12000
+	firstPort = 20000
+	lastPort  = 32000
 )
 
-// nextPort is the next port to try, counted from lowestPort. Test processes that
-// run side by side begin at different ports.
-var nextPort = uint32(os.Getpid() * 64)
+// nextPort is the next port to try. Processes begin at different ones.
+var nextPort atomic.Uint32
 
-// freeAddress returns a loopback address that nobody listens on.
+// freeAddress returns a loopback address that nobody listens on and that no
+// other script of this process was given.
 func freeAddress() (string, error) {
-	var last error
-	for range portCount {
-		port := lowestPort + atomic.AddUint32(&nextPort, 1)%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+	for range lastPort - firstPort {
+		offset := (uint32(os.Getpid())*freePorts + nextPort.Add(1)) % (lastPort - firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
 		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, listener.Close()
+		if err != nil {
+			continue
 		}
-		last = err
+		return address, listener.Close()
 	}
-	return "", last
+	return "", noFreePortError{}
+}
+
+// noFreePortError reports that all ports of scripts are taken.
+type noFreePortError struct{}
+
+// Error implements error.
+func (noFreePortError) Error() string {
+	return fmt.Sprintf("all ports from %d to %d are taken", firstPort, lastPort)
 }
 
 // setFreePorts gives a script loopback addresses that are free.
