A node that was cut off catches up before it serves again

Cause: the first digest after a cut made a node ready at once, on the revision of before the cut. Change: the end of an isolation is handled as the end of a pause. Conclusion: TestMendedNodeCatchesUpFirst passes.

--- a/internal/reducer/config/sync.go
+++ b/internal/reducer/config/sync.go
@@ -149,17 +149,12 @@
 	y := &s.sync
 	silent := ctx.Now.Sub(max(y.lastPeer, y.lastStore)) >= isolationWait
 	isolated := silent && s.hosts.Others() > 0
-	if isolated != y.isolated {
-		y.isolated = isolated
-		ctx.Log(effect.Warning, "config", "isolation from the store and all peers changed",
-			effect.Field{Name: "isolated", Value: boolText(isolated)})
+	switch {
+	case isolated && !y.isolated:
+		y.isolated = true
+		ctx.Log(effect.Warning, "config", "cut off from the store and all peers")
+	case !isolated && y.isolated:
+		ctx.Log(effect.Warning, "config", "no longer cut off: catching up")
+		s.HandleResume(ctx)
 	}
 }
-
-// boolText returns "true" or "false".
-func boolText(value bool) string {
-	if value {
-		return "true"
-	}
-	return "false"
-}
--- a/internal/reducer/config/sync_test.go
+++ b/internal/reducer/config/sync_test.go
@@ -132,6 +132,30 @@
 	}
 }
 
+// TestMendedNodeCatchesUpFirst heals the streams of an isolated node that cannot
+// reach the store: it must not serve on its old revision again.
+func TestMendedNodeCatchesUpFirst(t *testing.T) {
+	c, unreachable := newSelective(4)
+	c.RunFor(2 * time.Second)
+	c.change(t, "host-1", "create user u1")
+	unreachable["host-3"] = true
+	c.cutOff("host-3")
+	c.RunFor(20 * time.Second)
+	c.change(t, "host-1", "create user u2")
+	for _, other := range c.Hosts() {
+		c.Heal("host-3", other)
+	}
+	for range 1000 {
+		c.RunFor(10 * time.Millisecond)
+		if got := c.State("host-3").Config().Revision; c.serves("host-3") && got != 2 {
+			t.Fatalf("host-3 serves at revision %d before it has caught up", got)
+		}
+	}
+	if !c.serves("host-3") {
+		t.Error("host-3 does not serve after the cut")
+	}
+}
+
 func TestOutageAloneStopsNobody(t *testing.T) {
 	c := newCluster(1, 4)
 	c.RunFor(2 * time.Second)
