Placement follows a change of the view member by member

Cause: after each change of the members every service's subset was worked out anew: 166 us a service at 3,300 nodes, 0.8 s for 4,666 services, in which the event loop stands still; at the target a member comes or goes every few seconds. Change: subsets are carried over unless the difference may have changed them; a view that differs in revisions alone keeps everything.

--- a/internal/reducer/entry/placement.go
+++ b/internal/reducer/entry/placement.go
@@ -30,9 +30,14 @@
 // viewOf returns what was worked out of a view of the members; it is kept until
 // another view is asked for.
 func (s *State) viewOf(members []model.Member) *view {
-	if s.view == nil || !s.view.isOf(members) {
+	if s.view == nil {
 		s.view = newView(members)
 	}
+	if !s.view.isOf(members) && !s.view.follow(members) {
+		next := newView(members)
+		next.inherit(s.view, s.settings.SubsetSize)
+		s.view = next
+	}
 	return s.view
 }
 
--- a/internal/reducer/entry/view.go
+++ b/internal/reducer/entry/view.go
@@ -18,12 +18,23 @@
 	hashes  []uint64
 	// domains numbers the members' failure domains from zero.
 	domains []int
-	// subsets caches the subsets as indexes of members.
-	subsets map[model.ServiceName][]int
+	// sizes holds the number of members of each failure domain.
+	sizes []int
+	// subsets caches the subsets.
+	subsets map[model.ServiceName]placed
 	// scores is room for the scores of all members.
 	scores []float64
 }
 
+// placed is the subset of one service.
+type placed struct {
+	keyHash uint64
+	// picks are indexes of members, best first.
+	picks []int
+	// lowest is the lowest score of the picks.
+	lowest float64
+}
+
 // newView prepares a view.
 func newView(all []model.Member) *view {
 	members := usable(all)
@@ -32,7 +43,7 @@
 		members: members,
 		hashes:  make([]uint64, len(members)),
 		domains: make([]int, len(members)),
-		subsets: make(map[model.ServiceName][]int),
+		subsets: make(map[model.ServiceName]placed),
 		scores:  make([]float64, len(members)),
 	}
 	numbers := make(map[model.FailureDomain]int)
@@ -42,8 +53,10 @@
 		if !known {
 			number = len(numbers)
 			numbers[members[i].FailureDomain] = number
+			v.sizes = append(v.sizes, 0)
 		}
 		v.domains[i] = number
+		v.sizes[number]++
 	}
 	return v
 }
@@ -58,16 +71,19 @@
 
 // subset returns the members that serve a service, best first.
 func (v *view) subset(service model.ServiceName, size int) []int {
-	if subset, ok := v.subsets[service]; ok {
-		return subset
+	if known, ok := v.subsets[service]; ok {
+		return known.picks
 	}
 	keyHash := xxhash.Sum64String(string(service))
 	for i := range v.members {
 		v.scores[i] = v.score(keyHash, i)
 	}
-	subset := v.spread(size)
-	v.subsets[service] = subset
-	return subset
+	found := placed{keyHash: keyHash, picks: v.spread(size), lowest: math.Inf(1)}
+	for _, at := range found.picks {
+		found.lowest = min(found.lowest, v.score(keyHash, at))
+	}
+	v.subsets[service] = found
+	return found.picks
 }
 
 // spread picks up to size members by their scores: each time the best of those
