--- a/internal/reducer/show/explain.go
+++ b/internal/reducer/show/explain.go
@@ -35,7 +35,7 @@
 // decisions lists what would be decided, with the reason.
 func (a *Answerer) decisions(q *asked, service *model.Service, explanation *query.Explanation) model.Table {
 	return model.Table{Columns: []string{"decision", "now", "reason"}, Rows: [][]string{
-		takeOn(q, service),
+		a.takeOn(q, service),
 		pin(explanation),
 		answer(service),
 		fail(service),
@@ -46,10 +46,16 @@
 }
 
 // takeOn tells whether the node takes new requests.
-func takeOn(q *asked, service *model.Service) []string {
-	decision := "take on"
-	if q.Self.State != model.Serving {
+func (a *Answerer) takeOn(q *asked, service *model.Service) []string {
+	const decision = "take on"
+	load := a.parts.Admission.Describe()
+	switch {
+	case q.Self.State != model.Serving:
 		return []string{decision, "no", fmt.Sprintf("node %s is %s", q.Self.Host, q.Self.State)}
+	case !a.parts.Log.Ready():
+		return []string{decision, "no", fmt.Sprintf("node %s has no recent configuration", q.Self.Host)}
+	case load.Open >= load.Limit:
+		return []string{decision, "by fair share only", fmt.Sprintf("all of the node's %d places are taken", load.Limit)}
 	}
 	limits := []string{"service rate " + statement.Rate(service.Policy.RequestsPerSecond).String()}
 	if user := q.Config.User(service.User); user != nil {
@@ -57,7 +63,8 @@
 			"user rate "+statement.Rate(user.RequestsPerSecond).String(),
 			"user in flight "+statement.Limit(user.InFlight).String())
 	}
-	return []string{decision, "yes", "node " + string(q.Self.Host) + " serves, with " + strings.Join(limits, ", ")}
+	reason := fmt.Sprintf("node %s serves, %d of %d places are taken; %s", q.Self.Host, load.Open, load.Limit, strings.Join(limits, ", "))
+	return []string{decision, "yes", reason}
 }
 
 // pin tells which snapshot a search would read.
@@ -80,12 +87,12 @@
 	return []string{"answer", "after " + statement.Duration(policy.AnswerBy).String() + " with what there is", reason}
 }
 
-// fail tells when a search would fail.
+// fail tells when a request would fail.
 func fail(service *model.Service) []string {
 	policy := &service.Policy
 	return []string{
 		"fail", "after " + statement.Duration(policy.Deadline).String(),
-		fmt.Sprintf("if the coverage is under %s at the deadline", statement.Percent(policy.LeastCoverage)),
+		fmt.Sprintf("a search that covers less than %s; an order that was sent is unknown then, any other is not run", statement.Percent(policy.LeastCoverage)),
 	}
 }
 
--- a/internal/reducer/show/show.go
+++ b/internal/reducer/show/show.go
@@ -6,6 +6,7 @@
 import (
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/membership"
@@ -24,6 +25,13 @@
 	Change(id model.ChangeID) (config.ChangeStatus, bool)
 	// History returns the kept entries, oldest first.
 	History() []model.LogEntry
+	// Ready reports whether the configuration is recent enough to work with.
+	Ready() bool
+}
+
+// Admission describes what the node has taken on.
+type Admission interface {
+	Describe() admission.Description
 }
 
 // Coordinator describes the searches and orders under way.
@@ -54,6 +62,7 @@
 	Sessions    Sessions
 	Quarantine  Quarantine
 	Dispatcher  Dispatcher
+	Admission   Admission
 }
 
 // Answerer answers questions from the parts.
--- a/internal/reducer/show/show_test.go
+++ b/internal/reducer/show/show_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/membership"
@@ -43,6 +44,8 @@
 	}
 }
 
+func (fakeParts) Ready() bool { return true }
+
 func (fakeParts) Describe(model.Instant) session.Description {
 	return session.Description{Homes: []session.HomeDescription{{Host: "h1", Sessions: 2}}}
 }
@@ -67,6 +70,11 @@
 	}}
 }
 
+// fakeAdmission has taken nothing on.
+type fakeAdmission struct{}
+
+func (fakeAdmission) Describe() admission.Description { return admission.Description{Limit: 10} }
+
 // fakeDispatcher dispatches for one upstream.
 type fakeDispatcher struct{}
 
@@ -81,7 +89,7 @@
 	if failure != nil {
 		t.Fatal(failure)
 	}
-	answerer := New(Parts{Log: fakeParts{}, Coordinator: fakeCoordinator{}, Sessions: fakeParts{}, Quarantine: fakeQuarantine{}, Dispatcher: fakeDispatcher{}})
+	answerer := New(Parts{Log: fakeParts{}, Coordinator: fakeCoordinator{}, Sessions: fakeParts{}, Quarantine: fakeQuarantine{}, Dispatcher: fakeDispatcher{}, Admission: fakeAdmission{}})
 	ctx := &step.Context{Now: 1 << 60, Self: model.Member{Host: "h1", State: model.Leaving}, Config: &model.Config{
 		Revision:  3,
 		Users:     []model.User{{ID: "a"}, {ID: "b"}},
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -118,7 +118,7 @@
 	s.session.SetIssuer(s.entry)
 	s.query.SetSink(s.session)
 	s.ctx = step.Context{Random: rand.New(s.source), View: s.membership, Timers: &s.timers}
-	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session, Quarantine: s.quarantine, Dispatcher: s.dispatch})
+	s.show = show.New(show.Parts{Log: s.config, Coordinator: s.query, Sessions: s.session, Quarantine: s.quarantine, Dispatcher: s.dispatch, Admission: s.admission})
 	return s
 }
 
