Number each offer of an attempt to a dispatcher

Change: each offer has a number of its own.

Conclusion: a result settles only the offer that it answers.

--- a/internal/reducer/query/result.go
+++ b/internal/reducer/query/result.go
@@ -102,7 +102,8 @@
 }
 
 // reroute offers an attempt to another dispatcher, since the first one never
-// passed it on. It reports whether there is one.
+// passed it on. It reports whether there is one. The offer has a number of its
+// own: a copy of the first one's result must not settle it.
 func (s *State) reroute(ctx *step.Context, r *request, index int) bool {
 	a := &r.attempts[index]
 	if a.reroutes >= maxReroutes {
@@ -112,6 +113,10 @@
 	if !ok {
 		return false
 	}
+	delete(s.attempts, a.number)
+	s.nextAttempt++
+	a.number = s.nextAttempt
+	s.attempts[a.number] = attemptRef{request: r, index: index}
 	a.reroutes++
 	a.dispatcher = host
 	ctx.Count(metricReroutes, "")
