--- a/internal/reducer/config/compaction.go
+++ b/internal/reducer/config/compaction.go
@@ -122,7 +122,7 @@
 		c.stage = compactionIdle
 		return
 	}
-	encoded, err := s.history.encodeSnapshot(s.history.config)
+	encoded, err := s.history.snapshotInForce()
 	if err != nil {
 		ctx.Log(effect.Error, "config", err.Error())
 		c.stage = compactionIdle
--- a/internal/reducer/config/exchange.go
+++ b/internal/reducer/config/exchange.go
@@ -56,7 +56,7 @@
 	reply := message.LogEntries{Latest: s.history.applied()}
 	entries, kept := s.history.after(m.After, entriesPerMessage)
 	if !kept {
-		encoded, err := s.history.encodeSnapshot(s.history.config)
+		encoded, err := s.history.snapshotInForce()
 		if err != nil {
 			ctx.Log(effect.Error, "config", err.Error())
 			return
--- a/internal/reducer/config/history.go
+++ b/internal/reducer/config/history.go
@@ -44,6 +44,9 @@
 	// size estimates the bytes of a snapshot: the last one's plus the texts of the
 	// changes since.
 	size int
+	// encoded is the snapshot of encodedAt, kept for the peers that ask for it.
+	encoded   []byte
+	encodedAt model.Revision
 }
 
 // changeRecord remembers an accepted or refused change.
@@ -227,6 +230,20 @@
 	return out.Bytes(), nil
 }
 
+// snapshotInForce returns the compressed snapshot of the configuration in force.
+// It is encoded once a revision, because that takes long for a large one.
+func (h *history) snapshotInForce() ([]byte, error) {
+	if h.encoded != nil && h.encodedAt == h.applied() {
+		return h.encoded, nil
+	}
+	encoded, err := h.encodeSnapshot(h.config)
+	if err != nil {
+		return nil, err
+	}
+	h.encoded, h.encodedAt = encoded, h.applied()
+	return encoded, nil
+}
+
 // checkSize refuses a configuration whose snapshot would not fit into the store.
 // Encoding takes long for a large configuration, so that it is left out while the
 // estimate is far from the limit.
