Deletions of old log entries are paced

Cause: each deletion ends the watches of all watchers; at 30 watchers a truncation would make some 5,000 watch calls a second (worked out), over the store's 2,000 reads.

--- a/internal/reducer/config/compaction.go
+++ b/internal/reducer/config/compaction.go
@@ -19,6 +19,9 @@
 	keptInStore = 64
 	// truncatePage is how many old entries are listed at once.
 	truncatePage = 32
+	// deleteInterval is the least time between two deletions: each ends the
+	// watches of all watchers, which call the store again.
+	deleteInterval = 200 * time.Millisecond
 	// compactionInterval is the time between two looks at the log's length.
 	compactionInterval = 2 * time.Second
 )
@@ -36,6 +39,8 @@
 	writingFloor
 	listingOld
 	deletingOld
+	// waitingToDelete puts the next deletion off.
+	waitingToDelete
 )
 
 // compaction folds old entries into a snapshot. Any node may do it at any time:
@@ -48,12 +53,17 @@
 	snapshot model.Revision
 	floor    model.Revision
 	old      []event.StoreItem
+	// deleted is when the last deletion was done.
+	deleted model.Instant
 }
 
 // stepCompactionTimer begins a compaction when the log has grown and the node is
 // the first in rendezvous order. Two nodes may both begin one.
 func (s *State) stepCompactionTimer(ctx *step.Context) {
 	c := &s.compact
+	if c.stage == waitingToDelete && ctx.Now.Sub(c.deleted) >= deleteInterval {
+		s.deleteOld(ctx)
+	}
 	if ctx.Now.Sub(c.looked) < compactionInterval {
 		return
 	}
@@ -105,7 +115,8 @@
 		c.old = e.Items
 		s.deleteOld(ctx)
 	case deletingOld:
-		s.deleteOld(ctx)
+		c.deleted = ctx.Now
+		c.stage = waitingToDelete
 	}
 }
 
