--- a/internal/reducer/dispatch/dispatch_test.go
+++ b/internal/reducer/dispatch/dispatch_test.go
@@ -221,12 +221,35 @@
 	b.reply(b.sent(), nil)
 	short := func(m *message.Dispatch) { m.TimeLeft = int64(100 * time.Millisecond) }
 	b.dispatch(short)
+	first := b.sent()
+	b.dispatch(short)
 	if got := b.result(); got.Reason != model.CodeDeadline {
-		t.Fatalf("result = %+v", got)
+		t.Fatalf("result = %+v, want refused behind a slow sub-request", got)
+	}
+	for range 30 {
+		b.now = b.now.Add(2 * time.Millisecond)
+		b.reply(first, nil)
+		b.dispatch(short)
+		first = b.sent()
 	}
-	b.now = b.now.Add(serviceTimeAge)
 	b.dispatch(short)
-	b.sent()
+	if len(b.results()) != 0 {
+		t.Errorf("results = %+v, but the upstream is fast again", b.results())
+	}
+}
+
+func TestOneOutlierDoesNotRefuseWork(t *testing.T) {
+	b := ready(t, 2)
+	b.dispatch(nil)
+	slow := b.sent()
+	b.now = b.now.Add(2 * time.Second)
+	b.reply(slow, nil)
+	for range 4 {
+		b.dispatch(func(m *message.Dispatch) { m.TimeLeft = int64(100 * time.Millisecond) })
+		if len(b.results()) != 0 {
+			t.Fatalf("results = %+v after one outlier", b.results())
+		}
+	}
 }
 
 func TestIsolatedWorkRunsAlone(t *testing.T) {
--- a/internal/reducer/dispatch/lane.go
+++ b/internal/reducer/dispatch/lane.go
@@ -48,39 +48,6 @@
 	reported report
 }
 
-// serviceTime follows the time that the upstream takes for a sub-request.
-type serviceTime struct {
-	mean time.Duration
-	// observed is the time of the last observation.
-	observed model.Instant
-}
-
-const (
-	// serviceTimeGain is the weight of a new observation in the moving average.
-	serviceTimeGain = 0.1
-	// serviceTimeAge is the age at which the average is no longer used: work that
-	// is refused because of it would never renew it.
-	serviceTimeAge = 1 * time.Second
-)
-
-// expected returns the service time to expect; zero if none is known.
-func (s *serviceTime) expected(now model.Instant) time.Duration {
-	if now.Sub(s.observed) >= serviceTimeAge {
-		return 0
-	}
-	return s.mean
-}
-
-// observe adds one service time.
-func (s *serviceTime) observe(now model.Instant, elapsed time.Duration) {
-	s.observed = now
-	if s.mean == 0 {
-		s.mean = elapsed
-		return
-	}
-	s.mean += time.Duration(serviceTimeGain * float64(elapsed-s.mean))
-}
-
 // takesOn reports whether the lane takes a new sub-request on. One that retires
 // does so only if it can send it at once.
 func (l *lane) takesOn(now model.Instant) bool {
--- a/internal/reducer/dispatch/schedule.go
+++ b/internal/reducer/dispatch/schedule.go
@@ -65,7 +65,7 @@
 	case s.settings.NoEarlyRefusal:
 		return nil
 	}
-	service := l.service.expected(ctx.Now)
+	service := l.service.least(ctx.Now)
 	start := ctx.Now.Add(l.expectedWait(ctx.Now, l.queue.Ahead(j.waiting.Deadline)))
 	last := ctx.Now.Add(l.expectedWait(ctx.Now, l.queue.Len()))
 	switch {
@@ -120,12 +120,19 @@
 // for queued jobs while there are free slots.
 func (s *State) pump(ctx *step.Context, l *lane) {
 	s.sendControl(ctx, l)
-	s.dropLate(ctx, l)
+	s.dropExpired(ctx, l)
 	for l.canSendNext(ctx.Now) {
 		j := l.queue.First().Value
+		// A job that nothing else waits behind costs nobody a slot, and its service
+		// time is the only way to learn that the upstream has become faster.
+		if l.queue.Len() > 1 && s.latestStart(ctx, l, j) <= ctx.Now {
+			s.finish(ctx, j, *refused(model.CodeDeadline))
+			continue
+		}
 		l.queue.Remove(&j.waiting)
 		s.send(ctx, l, l.idleConnection(), j)
 	}
+	s.dropLate(ctx, l)
 	s.setQueueTimer(ctx, l)
 }
 
@@ -182,13 +189,12 @@
 	s.pump(ctx, j.lane)
 }
 
-// dropLate refuses the queued jobs that cannot be answered in time any more or
-// whose wait has ended.
-func (s *State) dropLate(ctx *step.Context, l *lane) {
+// dropExpired refuses the queued jobs whose wait has ended.
+func (s *State) dropExpired(ctx *step.Context, l *lane) {
 	for {
 		first := l.queue.FirstExpiry()
 		if first == nil || first.Expiry > ctx.Now {
-			break
+			return
 		}
 		reason := model.CodeOverloaded
 		if first.Expiry == first.Value.deadline {
@@ -196,10 +202,14 @@
 		}
 		s.finish(ctx, first.Value, *refused(reason))
 	}
+}
+
+// dropLate refuses the queued jobs that cannot be answered in time any more.
+func (s *State) dropLate(ctx *step.Context, l *lane) {
 	for {
 		first := l.queue.First()
 		if first == nil || s.latestStart(ctx, l, first.Value) > ctx.Now {
-			break
+			return
 		}
 		s.finish(ctx, first.Value, *refused(model.CodeDeadline))
 	}
@@ -210,5 +220,5 @@
 	if s.settings.NoEarlyRefusal {
 		return j.deadline
 	}
-	return j.deadline.Add(-l.service.expected(ctx.Now))
+	return j.deadline.Add(-l.service.least(ctx.Now))
 }
