--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -23,6 +23,8 @@
 	// adminRate and adminBurst bound the calls, in calls a second.
 	adminRate  = 200
 	adminBurst = 400
+	// adminWriteTimeout bounds the writing of a reply to a slow reader.
+	adminWriteTimeout = 30 * time.Second
 	// statementTimeout bounds the wait for the reducer's reply, which has a bound
 	// of its own for changes.
 	statementTimeout = 10 * time.Second
@@ -82,6 +84,8 @@
 	Tables   []model.Table           `json:"tables,omitempty"`
 	Text     string                  `json:"text,omitempty"`
 	Error    *model.Failure          `json:"error,omitempty"`
+	// Winner is the change that came first, when the error is a conflict.
+	Winner *effect.Winner `json:"winner,omitempty"`
 }
 
 // limit bounds the rate of calls.
@@ -91,6 +95,8 @@
 			c.Response().Header().Set(echo.HeaderRetryAfter, "1")
 			return model.Failf(model.CodeRateLimited, "more than %d administration calls a second", adminRate)
 		}
+		// A writer without deadlines, such as a recorder of a test, is used as it is.
+		_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Now().Add(adminWriteTimeout))
 		return next(c)
 	}
 }
@@ -155,6 +161,7 @@
 		Tables:   result.Tables,
 		Text:     result.Text,
 		Error:    result.Failure,
+		Winner:   result.Winner,
 	})
 }
 
