--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -148,7 +148,7 @@
 		countField("cut_requests", s.query.InFlight()),
 		countField("cut_order_calls", s.session.InFlight()),
 		countField("cut_sub_requests", s.dispatch.InFlight()),
-		effect.Field{Name: "sessions_handed_over", Value: strconv.FormatBool(s.session.HandedOver())},
+		effect.Field{Name: "handover_ended", Value: strconv.FormatBool(s.session.HandedOver())},
 		effect.Field{Name: "after", Value: ctx.Now.Sub(s.lifecycle.stopped).String()})
 	ctx.Emit(effect.Exit{Cut: cut})
 }
