Dispatch: a policy of no queue or no wait is taken at its word

Cause: 'refuse queue 0' was taken for a queue without limit, and a wait of zero for a wait to the deadline. Change: zero means that nothing waits; a free slot is still used at once. Conclusion: a test for each.

--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -92,9 +92,11 @@
 	HedgeBudget Percent `json:"hedge_budget"`
 	// RetryBudget bounds retries as a share of first attempts.
 	RetryBudget Percent `json:"retry_budget"`
-	// QueueLimit bounds the sub-requests that wait for a slot of one upstream.
+	// QueueLimit bounds the sub-requests that wait for a slot of one upstream;
+	// zero means that none may wait.
 	QueueLimit int `json:"queue_limit"`
-	// QueueWait bounds the time a sub-request waits for a slot.
+	// QueueWait bounds the time a sub-request waits for a slot; zero means that
+	// it must be sent at once.
 	QueueWait time.Duration `json:"queue_wait"`
 	// RequestsPerSecond limits the service's requests on one node; zero means
 	// unlimited.
--- a/internal/reducer/dispatch/bench_test.go
+++ b/internal/reducer/dispatch/bench_test.go
@@ -61,7 +61,7 @@
 // BenchmarkQueuedSubRequest is one sub-request that finds a queue of 63.
 func BenchmarkQueuedSubRequest(b *testing.B) {
 	state, ctx := fleet(1)
-	m := message.Dispatch{Kind: message.KindSearch, TimeLeft: int64(time.Hour), Repeatable: true, Upstream: benchUpstream(0)}
+	m := message.Dispatch{Kind: message.KindSearch, TimeLeft: int64(time.Hour), MaxQueueWait: int64(time.Hour), Repeatable: true, Upstream: benchUpstream(0)}
 	sent := make([]effect.SendUpstream, 0, 1024)
 	dispatch := func(i int) {
 		ctx.Effects = ctx.Effects[:0]
--- a/internal/reducer/dispatch/dispatch_test.go
+++ b/internal/reducer/dispatch/dispatch_test.go
@@ -158,6 +158,28 @@
 	}
 }
 
+func TestNothingWaitsIfThePolicySaysSo(t *testing.T) {
+	for name, change := range map[string]func(*model.Policy, *message.Dispatch){
+		"no queue": func(p *model.Policy, _ *message.Dispatch) { p.QueueLimit = 0 },
+		"no wait":  func(_ *model.Policy, m *message.Dispatch) { m.MaxQueueWait = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := ready(t, 1)
+			dispatch := func() {
+				b.dispatch(func(m *message.Dispatch) { change(&b.config.Services[0].Policy, m) })
+			}
+			change(&b.config.Services[0].Policy, &message.Dispatch{})
+			b.configure()
+			dispatch()
+			b.sent()
+			dispatch()
+			if got := b.result(); got.Status != message.StatusRefused || got.Reason != model.CodeOverloaded {
+				t.Errorf("result = %+v, want refused at once", got)
+			}
+		})
+	}
+}
+
 func TestHedgeIsNotQueued(t *testing.T) {
 	b := ready(t, 1)
 	b.dispatch(nil)
--- a/internal/reducer/dispatch/harness_test.go
+++ b/internal/reducer/dispatch/harness_test.go
@@ -155,6 +155,7 @@
 		TimeLeft:   int64(time.Second),
 		Repeatable: true,
 	}
+	m.MaxQueueWait = int64(time.Hour)
 	if change != nil {
 		change(&m)
 	}
--- a/internal/reducer/dispatch/job.go
+++ b/internal/reducer/dispatch/job.go
@@ -37,7 +37,7 @@
 		deadline: ctx.Now.Add(time.Duration(m.TimeLeft)),
 	}
 	j.waiting = queue.Entry[*job]{Deadline: j.deadline, Expiry: j.deadline, Priority: m.Priority, Value: j}
-	if m.MaxQueueWait > 0 && !s.settings.NoEarlyRefusal {
+	if !s.settings.NoEarlyRefusal {
 		j.waiting.Expiry = min(j.deadline, ctx.Now.Add(time.Duration(m.MaxQueueWait)))
 	}
 	if s.settings.Order == ArrivalOrder {
--- a/internal/reducer/dispatch/schedule.go
+++ b/internal/reducer/dispatch/schedule.go
@@ -31,6 +31,9 @@
 	if l.isDraining() || l.isUnreachable() {
 		return refused(model.CodeUnavailable)
 	}
+	if j.deadline <= ctx.Now {
+		return refused(model.CodeDeadline)
+	}
 	if j.request.Hedge && (l.freeSlots(ctx.Now) <= l.queue.Len() || l.idleConnection() == nil) {
 		return refused(model.CodeOverloaded)
 	}
@@ -60,7 +63,7 @@
 	switch {
 	case l.freeSlots(ctx.Now) > l.queue.Len():
 		return nil
-	case l.policy.QueueLimit > 0 && l.queue.Len() >= l.policy.QueueLimit:
+	case l.queue.Len() >= l.policy.QueueLimit:
 		return refused(model.CodeOverloaded)
 	case s.settings.NoEarlyRefusal:
 		return nil
@@ -120,7 +123,8 @@
 // for queued jobs while there are free slots.
 func (s *State) pump(ctx *step.Context, l *lane) {
 	s.sendControl(ctx, l)
-	s.dropExpired(ctx, l)
+	// A job whose wait ends now may still be sent now.
+	s.dropExpired(ctx, l, ctx.Now-1)
 	for l.canSendNext(ctx.Now) {
 		j := l.queue.First().Value
 		// A job that nothing else waits behind costs nobody a slot, and its service
@@ -132,6 +136,7 @@
 		l.queue.Remove(&j.waiting)
 		s.send(ctx, l, l.idleConnection(), j)
 	}
+	s.dropExpired(ctx, l, ctx.Now)
 	s.dropLate(ctx, l)
 	s.setQueueTimer(ctx, l)
 }
@@ -189,11 +194,11 @@
 	s.pump(ctx, j.lane)
 }
 
-// dropExpired refuses the queued jobs whose wait has ended.
-func (s *State) dropExpired(ctx *step.Context, l *lane) {
+// dropExpired refuses the queued jobs whose wait ends at the given time or before.
+func (s *State) dropExpired(ctx *step.Context, l *lane, end model.Instant) {
 	for {
 		first := l.queue.FirstExpiry()
-		if first == nil || first.Expiry > ctx.Now {
+		if first == nil || first.Expiry > end {
 			return
 		}
 		reason := model.CodeOverloaded
