Peers: smaller streams

Cause: at the target a node has some 230 streams in each direction, and a stream took 190 KB at both ends together: an outbox with room for 4,096 messages, and gRPC's buffers. Change: the outbox takes memory only for what waits; gRPC's buffers are 8 KB and shared between writes.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -17,6 +17,9 @@
 	outboxMessages = 4096
 	// maxFrameBytes bounds one frame on the wire.
 	maxFrameBytes = 4 << 20
+	// transportBufferBytes is the size of each read and write buffer: a node has
+	// hundreds of streams, and most frames are small.
+	transportBufferBytes = 8 << 10
 	// frameMessages and frameBytes bound the messages that share a frame; the last
 	// of them may go over the bytes.
 	frameMessages = 256
@@ -81,9 +84,7 @@
 	if s == nil {
 		s = c.open(key)
 	}
-	select {
-	case s.outbox <- m:
-	default:
+	if !s.outbox.add(m) {
 		s.cancel()
 	}
 }
@@ -107,7 +108,7 @@
 	s := &stream{
 		self:    c.self,
 		key:     key,
-		outbox:  make(chan message.Message, outboxMessages),
+		outbox:  newOutbox(),
 		closing: c.closing,
 		cancel:  cancel,
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,7 +26,10 @@
 // NewServer returns a server that delivers to the listener.
 func NewServer(self model.HostID, creds credentials.TransportCredentials, listener Listener) *Server {
 	s := &Server{self: self, listener: listener}
-	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxFrameBytes))
+	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxFrameBytes),
+		grpc.ReadBufferSize(transportBufferBytes),
+		grpc.WriteBufferSize(transportBufferBytes),
+		grpc.SharedWriteBuffer(true))
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
 }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -18,7 +18,7 @@
 type stream struct {
 	self   model.Member
 	key    streamKey
-	outbox chan message.Message
+	outbox *outbox
 	// closing is closed when the stream is to end after its last message.
 	closing  <-chan struct{}
 	cancel   context.CancelFunc
@@ -32,6 +32,9 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithReadBufferSize(transportBufferBytes),
+		grpc.WithWriteBufferSize(transportBufferBytes),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxFrameBytes)),
 	)
 	if err != nil {
@@ -70,15 +73,15 @@
 // pump writes the queued messages as numbered frames until the stream ends, or
 // until the queue is empty once the client is closing.
 func (s *stream) pump(ended <-chan error) error {
-	if err := s.send(s.introduction()); err != nil {
+	if err := s.send([]message.Message{s.introduction()}); err != nil {
 		return err
 	}
 	for {
 		select {
 		case err := <-ended:
 			return err
-		case m := <-s.outbox:
-			if err := s.send(m); err != nil {
+		case <-s.outbox.ready:
+			if err := s.send(s.outbox.take(frameMessages)); err != nil {
 				return err
 			}
 		case <-s.closing:
@@ -98,8 +101,12 @@
 
 // drain writes what is queued and waits until the peer has taken it.
 func (s *stream) drain(ended <-chan error) error {
-	for len(s.outbox) > 0 {
-		if err := s.send(<-s.outbox); err != nil {
+	for {
+		last := s.outbox.take(frameMessages)
+		if len(last) == 0 {
+			break
+		}
+		if err := s.send(last); err != nil {
 			return err
 		}
 	}
@@ -109,37 +116,42 @@
 	return <-ended
 }
 
-// send writes a message, and with it those that are queued already, as the next
-// frame.
-func (s *stream) send(first message.Message) error {
+// send writes messages in order, as many to a frame as its size allows.
+func (s *stream) send(messages []message.Message) error {
+	for len(messages) > 0 {
+		frame, rest, err := s.fill(messages)
+		if err != nil {
+			return err
+		}
+		if err := s.out.Send(frame); err != nil {
+			return err
+		}
+		messages = rest
+	}
+	return nil
+}
+
+// fill makes the next frame and returns the messages that it has no room for.
+func (s *stream) fill(messages []message.Message) (frame *peerpb.Frame, rest []message.Message, err error) {
 	s.sequence++
-	frame := &peerpb.Frame{
+	frame = &peerpb.Frame{
 		From:        string(s.self.Host),
 		Incarnation: uint64(s.self.Incarnation),
 		Sequence:    s.sequence,
 		To:          string(s.key.host),
+		Messages:    make([]*peerpb.Message, 0, len(messages)),
 	}
 	size := 0
-	for m, ok := first, true; ok; m, ok = s.next(len(frame.Messages), size) {
+	for i, m := range messages {
+		if size >= frameBytes {
+			return frame, messages[i:], nil
+		}
 		encoded, err := encode(m)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
 		size += proto.Size(encoded)
 		frame.Messages = append(frame.Messages, encoded)
 	}
-	return s.out.Send(frame)
-}
-
-// next returns a queued message, unless there is none or the frame is full.
-func (s *stream) next(count, size int) (message.Message, bool) {
-	if count >= frameMessages || size >= frameBytes {
-		return nil, false
-	}
-	select {
-	case m := <-s.outbox:
-		return m, true
-	default:
-		return nil, false
-	}
+	return frame, nil, nil
 }
