--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,8 +28,7 @@
 	s := &Server{self: self, listener: listener}
 	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxFrameBytes),
 		grpc.ReadBufferSize(transportBufferBytes),
-		grpc.WriteBufferSize(transportBufferBytes),
-		grpc.SharedWriteBuffer(true))
+		grpc.WriteBufferSize(transportBufferBytes))
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
 }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -34,7 +34,6 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithReadBufferSize(transportBufferBytes),
 		grpc.WithWriteBufferSize(transportBufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxFrameBytes)),
 	)
 	if err != nil {
