An operator who was dropped sees nothing

Cause: a question by an operator whose removal the API had not seen yet was answered as if the operator were limited to no user.

--- a/internal/reducer/show/show.go
+++ b/internal/reducer/show/show.go
@@ -85,6 +85,10 @@
 
 // Answer answers the questions of one text.
 func (a *Answerer) Answer(ctx *step.Context, operator model.OperatorName, questions []statement.Question) effect.StatementResult {
+	if !statement.MayOperate(ctx.Config, operator) {
+		failure := model.Failf(model.CodeForbidden, "there is no operator %q", operator)
+		return effect.StatementResult{Outcome: effect.NotAccepted, Failure: failure}
+	}
 	q := &asked{
 		Context:  ctx,
 		operator: operator,
--- a/internal/statement/permission.go
+++ b/internal/statement/permission.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
@@ -27,15 +26,11 @@
 
 // permit checks an operator's permission for the following changes.
 func (e *editor) permit(p *permission) {
-	if len(e.config.Operators) == 0 {
-		return
-	}
-	i, found := slices.BinarySearchFunc(e.config.Operators, p.operator, compareOperator)
-	if !found {
+	if !MayOperate(e.config, p.operator) {
 		e.fail(RuleForbidden, "there is no operator %q", p.operator)
 		return
 	}
-	user := e.config.Operators[i].User
+	user := UserOf(e.config, p.operator)
 	if user == "" {
 		return
 	}
--- a/internal/statement/visible.go
+++ b/internal/statement/visible.go
@@ -37,6 +37,13 @@
 	return visible
 }
 
+// MayOperate reports whether an operator may ask or change anything: it is in
+// force, or none is.
+func MayOperate(config *model.Config, operator model.OperatorName) bool {
+	isNamed := func(o model.Operator) bool { return o.Name == operator }
+	return len(config.Operators) == 0 || slices.ContainsFunc(config.Operators, isNamed)
+}
+
 // UserOf returns the user that an operator is limited to; empty means all.
 func UserOf(config *model.Config, operator model.OperatorName) model.UserID {
 	i := slices.IndexFunc(config.Operators, func(o model.Operator) bool { return o.Name == operator })
