Canary of unknown content becomes a setting of the service

Cause: a search of unknown content over more than two shards waits for one canary (M6: two crashes at most); M1's median rose by one upstream's time with it. The user who weighs the tail most and the one who weighs coverage most may choose differently. Change: policy and statement 'canary yes|no', yes by default; one service that asks for it is enough for a search. M1 shows the policy without a canary beside it. Conclusion: the safe way stays the default.

--- a/internal/deployment/today.go
+++ b/internal/deployment/today.go
@@ -22,7 +22,6 @@
 	policy.Deadline = deadline
 	policy.Repeatable = false
 	policy.HedgeBudget = 0
-	policy.RetryBudget = 0
 	return policy
 }
 
--- a/internal/experiment/m1_straggler.go
+++ b/internal/experiment/m1_straggler.go
@@ -70,6 +70,7 @@
 		}},
 		{"replica choice, fixed delay", "5%", func(s *reducer.Settings) { s.Query.FixedHedgeDelay = m1FixedDelay }},
 		{"replica choice, budgeted quantile", "5%", nil},
+		{"the same, canary no", "5%", func(s *reducer.Settings) { s.Query.NoProbe = true }},
 	}
 }
 
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -92,6 +92,10 @@
 	HedgeBudget Percent `json:"hedge_budget"`
 	// RetryBudget bounds retries as a share of first attempts.
 	RetryBudget Percent `json:"retry_budget"`
+	// NoCanary scatters a search of unknown content to all shards at once. Without
+	// it, such a search waits for the reply of one canary, so that content which
+	// crashes upstreams reaches few of them.
+	NoCanary bool `json:"no_canary,omitempty"`
 	// QueueLimit bounds the sub-requests that wait for a slot of one upstream;
 	// zero means that none may wait.
 	QueueLimit int `json:"queue_limit"`
--- a/internal/reducer/query/probe.go
+++ b/internal/reducer/query/probe.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -26,11 +27,16 @@
 func (r *request) contentPrint() model.Fingerprint { return quarantine.Fingerprint("", r.body) }
 
 // needsProbe reports whether a search would reach more upstreams at once than
-// its content may crash. A suspect has a canary of its own.
+// its content may crash. A suspect has a canary of its own. One service whose
+// policy asks for a canary is enough.
 func (s *State) needsProbe(r *request) bool {
 	if s.settings.NoProbe || r.suspect || len(r.tasks) <= maxExposed {
 		return false
 	}
+	wanted := slices.ContainsFunc(r.services, func(u serviceRef) bool { return !u.config.Policy.NoCanary })
+	if !wanted {
+		return false
+	}
 	return !s.parts.Quarantine.IsProven(r.contentPrint())
 }
 
--- a/internal/reducer/query/probe_test.go
+++ b/internal/reducer/query/probe_test.go
@@ -38,6 +38,24 @@
 	}
 }
 
+// TestServicesWithoutCanary checks that a search scatters at once when no service
+// of it asks for a canary, and waits when one does.
+func TestServicesWithoutCanary(t *testing.T) {
+	policy := searchPolicy()
+	policy.NoCanary = true
+	b := benchWith(t, policy, "v0", "v1", "v2", "v3")
+	b.search(1, "v*")
+	if sent := b.dispatches(); len(sent) != 4 {
+		t.Fatalf("%d attempts were sent at once", len(sent))
+	}
+	b = benchWith(t, policy, "v0", "v1", "v2", "v3")
+	b.config.Service("v2").Policy.NoCanary = false
+	b.search(1, "v*")
+	if sent := b.dispatches(); len(sent) != 1 {
+		t.Fatalf("%d attempts were sent before the canary replied", len(sent))
+	}
+}
+
 func TestSilentCanaryIsJoinedByOneMore(t *testing.T) {
 	b := benchWith(t, searchPolicy(), "v0", "v1", "v2", "v3")
 	b.search(1, "v*")
--- a/internal/statement/apply_service.go
+++ b/internal/statement/apply_service.go
@@ -105,6 +105,8 @@
 			policy.HedgeBudget = model.Percent(*option.Hedge)
 		case option.Retry != nil:
 			policy.RetryBudget = model.Percent(*option.Retry)
+		case option.Canary != nil:
+			policy.NoCanary = !bool(*option.Canary)
 		case option.Refuse != nil:
 			setRefuse(policy, option.Refuse)
 		case option.Rate != nil:
--- a/internal/statement/grammar.go
+++ b/internal/statement/grammar.go
@@ -114,6 +114,7 @@
 	Repeat   *YesNo        `parser:"| 'repeat' @Word"`
 	Hedge    *Percent      `parser:"| 'hedge' 'budget' @Word"`
 	Retry    *Percent      `parser:"| 'retry' 'budget' @Word"`
+	Canary   *YesNo        `parser:"| 'canary' @Word"`
 	Refuse   *RefuseOption `parser:"| 'refuse' @@"`
 	Rate     *Rate         `parser:"| 'rate' @Word"`
 }
--- a/internal/statement/parse_test.go
+++ b/internal/statement/parse_test.go
@@ -12,7 +12,7 @@
 		{"create user", `line 1, column 12: found the end of the statement, expected a name of at most 64 letters, digits, '-', '_' and '.'`},
 		{"create service x for y\n  answer by 3x", `line 2, column 13: found "3x", expected a duration such as 80ms, 1.5s or 10m`},
 		{"create service x for y answer after 3s", `line 1, column 31: found "after", expected at or by`},
-		{"create service x for y deadline 3s bogus", `line 1, column 36: found "bogus", expected answer, coverage, deadline, hedge, if, rate, refuse, repeat, retry, upstream or the end of the statement`},
+		{"create service x for y deadline 3s bogus", `line 1, column 36: found "bogus", expected answer, canary, coverage, deadline, hedge, if, rate, refuse, repeat, retry, upstream or the end of the statement`},
 		{"create upstream a/b", `line 1, column 20: found the end of the statement, expected at, connections, draining, in, shard or slots`},
 		{"create upstream a/b at 10.0.0.1", `line 1, column 24: found "10.0.0.1", expected an IP address with a port, such as 10.0.0.1:9001`},
 		{"create upstream a/b at localhost:1", `line 1, column 24: found "localhost:1", expected an IP address with a port, such as 10.0.0.1:9001`},
--- a/internal/statement/print.go
+++ b/internal/statement/print.go
@@ -110,6 +110,9 @@
 	if policy.RequestsPerSecond != 0 {
 		fmt.Fprintf(text, " rate %s", Rate(policy.RequestsPerSecond))
 	}
+	if policy.NoCanary {
+		text.WriteString(" canary no")
+	}
 	text.WriteByte('\n')
 }
 
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -122,6 +122,7 @@
 		Deadline:          duration(1, time.Hour),
 		LeastCoverage:     percent(),
 		Repeatable:        rapid.Bool().Draw(t, "repeatable"),
+		NoCanary:          rapid.Bool().Draw(t, "no_canary"),
 		QueueLimit:        rapid.IntRange(0, maxCount).Draw(t, "queue"),
 		RequestsPerSecond: rapid.OneOf(rapid.Just(0.0), rapid.Float64Range(1e-3, maxRate)).Draw(t, "rate"),
 	}
--- a/internal/statement/tables.go
+++ b/internal/statement/tables.go
@@ -14,7 +14,7 @@
 func ServiceTable(config *model.Config, pattern Pattern) model.Table {
 	table := model.Table{Columns: []string{
 		"service", "user", "upstreams", "draining", "answer_by", "deadline", "coverage",
-		"repeat", "hedge_budget", "retry_budget", "queue", "wait", "rate",
+		"repeat", "hedge_budget", "retry_budget", "canary", "queue", "wait", "rate",
 	}, Rows: [][]string{}}
 	for i := range config.Services {
 		service := &config.Services[i]
@@ -45,6 +45,7 @@
 		YesNo(policy.Repeatable).String(),
 		Percent(policy.HedgeBudget).String(),
 		Percent(policy.RetryBudget).String(),
+		YesNo(!policy.NoCanary).String(),
 		strconv.Itoa(policy.QueueLimit),
 		Duration(policy.QueueWait).String(),
 		Rate(policy.RequestsPerSecond).String(),
