API: a request without a reply from the reducer is unknown, not "not run"

Cause: when a node was ended at once (second signal, stop limit) with requests open, the HTTP layer called them not run, although they may have run.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -121,7 +121,7 @@
 		RequestID: id, Services: body.Services, Query: body.Query, Timeout: timeout,
 	})
 	if err != nil {
-		return err
+		return &NoReplyError{Err: err}
 	}
 	return writeAnswer(c, answer)
 }
@@ -151,7 +151,7 @@
 		Acknowledged: acknowledged,
 	})
 	if err != nil {
-		return err
+		return &NoReplyError{Err: err}
 	}
 	return writeAnswer(c, answer)
 }
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -11,7 +11,8 @@
 )
 
 // failureBody is the body of a request that fails before it reaches the
-// reducer: nothing ran.
+// reducer, so that nothing ran, or to which the reducer did not reply, so that it
+// may have run.
 type failureBody struct {
 	RequestID string         `json:"request_id,omitempty"`
 	Outcome   model.Outcome  `json:"outcome"`
@@ -42,6 +43,16 @@
 	}
 }
 
+// NoReplyError reports that a caller's request had reached the reducer, which
+// ended before it replied: the request may have run.
+type NoReplyError struct{ Err error }
+
+// Error implements error.
+func (e *NoReplyError) Error() string { return "no reply came: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NoReplyError) Unwrap() error { return e.Err }
+
 // handleError writes errors of handlers and of echo itself as typed failures.
 func handleError(err error, c echo.Context) {
 	if c.Response().Committed {
@@ -53,8 +64,14 @@
 	if errors.As(err, &httpError) && failure.Code == model.CodeBadRequest {
 		status = httpError.Code
 	}
+	outcome := model.NotRun
+	var noReply *NoReplyError
+	if errors.As(err, &noReply) {
+		outcome = model.Unknown
+		status = http.StatusGatewayTimeout
+	}
 	// A failed write means that the caller is gone.
-	_ = c.JSON(status, failureBody{Outcome: model.NotRun, Error: failure})
+	_ = c.JSON(status, failureBody{Outcome: outcome, Error: failure})
 }
 
 // failureOf returns the typed failure of an error.
