Reports of upstreams go to who needs them

Change: in a fleet larger than a subset only the service's subset hears of its upstreams, and for 60 s any node that asks; a search that reaches a node which knows nothing of a service waits 20 ms while the node asks. Package interest decides it; dispatchers remember a lane's readers. Conclusion: at today's four nodes nothing changes.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -123,6 +123,11 @@
 	Report model.IndexReport
 }
 
+// IndexInterest asks a dispatcher for the reports of services, for a time.
+type IndexInterest struct {
+	Services []model.ServiceName
+}
+
 // OrderForward sends an order to its session's home node.
 type OrderForward struct {
 	// Call is the forwarding node's call, returned in OrderOutcome.
@@ -322,6 +327,7 @@
 func (Cancel) isMessage()          {}
 func (DispatchResult) isMessage()  {}
 func (IndexReport) isMessage()     {}
+func (IndexInterest) isMessage()   {}
 func (OrderForward) isMessage()    {}
 func (OrderOutcome) isMessage()    {}
 func (SessionHandover) isMessage() {}
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -30,6 +30,8 @@
 		{"dispatch_requeued_total", "", "Sub-requests put back because their connection had ended before the write."},
 		{"dispatch_shed_total", "", "Sub-requests that an upstream shed."},
 		{"dispatch_upstream_crashes_total", "service", "Ends of connections that look like a crash of the upstream."},
+		{"interest_asked_total", "", "Messages that asked a dispatcher for the reports of services."},
+		{"interest_parked_searches_total", "", "Searches that waited for the first reports of a service."},
 		{"query_callers_gone_total", "", "Requests whose caller closed them."},
 		{"query_canaries_total", "", "Searches that sent one canary first."},
 		{"query_crashes_total", "", "Crashes reported to a coordinator."},
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -17,6 +17,7 @@
 	t.Run("Cancel", roundTrip[message.Cancel])
 	t.Run("DispatchResult", roundTrip[message.DispatchResult])
 	t.Run("IndexReport", roundTrip[message.IndexReport])
+	t.Run("IndexInterest", roundTrip[message.IndexInterest])
 	t.Run("OrderForward", roundTrip[message.OrderForward])
 	t.Run("OrderOutcome", roundTrip[message.OrderOutcome])
 	t.Run("SessionHandover", roundTrip[message.SessionHandover])
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -21,6 +21,10 @@
 		return decodeResult(m.DispatchResult), nil
 	case *peerpb.Message_IndexReport:
 		return message.IndexReport{Report: decodeReport(m.IndexReport)}, nil
+	case *peerpb.Message_IndexInterest:
+		return message.IndexInterest{
+			Services: decodeStrings[model.ServiceName](m.IndexInterest.GetServices()),
+		}, nil
 	case *peerpb.Message_OrderForward:
 		return decodeForward(m.OrderForward), nil
 	case *peerpb.Message_OrderOutcome:
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -29,6 +29,10 @@
 		out.Body = &peerpb.Message_DispatchResult{DispatchResult: encodeResult(m)}
 	case message.IndexReport:
 		out.Body = &peerpb.Message_IndexReport{IndexReport: encodeReport(m.Report)}
+	case message.IndexInterest:
+		out.Body = &peerpb.Message_IndexInterest{IndexInterest: &peerpb.IndexInterest{
+			Services: encodeStrings(m.Services),
+		}}
 	case message.OrderForward:
 		out.Body = &peerpb.Message_OrderForward{OrderForward: encodeForward(m)}
 	case message.OrderOutcome:
--- a/internal/reducer/dispatch/dispatch.go
+++ b/internal/reducer/dispatch/dispatch.go
@@ -40,6 +40,25 @@
 	MaxDispatchers() int
 }
 
+// Audience tells which other nodes hear of a service's upstreams.
+type Audience interface {
+	Readers(ctx *step.Context, service model.ServiceName) []model.HostID
+}
+
+// allMembers is the audience of every service while none is set.
+type allMembers struct{}
+
+// Readers implements Audience.
+func (allMembers) Readers(ctx *step.Context, _ model.ServiceName) []model.HostID {
+	var hosts []model.HostID
+	for _, member := range ctx.View.Members() {
+		if member.Host != ctx.Self.Host {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	return hosts
+}
+
 // State holds one lane for each upstream that this node dispatches for.
 type State struct {
 	placement Placement
@@ -55,8 +74,8 @@
 	// refusedOnce remembers such work of which it was said that it did not run: a
 	// copy that arrives later must not run.
 	refusedOnce recentAttempts
-	// readers lists the members that know this node's reports.
-	readers []reader
+	// audience tells who hears of a service's upstreams.
+	audience Audience
 	// listed holds the upstreams that the platform says are leaving.
 	listed map[model.UpstreamID]bool
 	// configured holds the upstreams of the configuration last seen.
@@ -71,6 +90,7 @@
 // NewWith returns a state without connections.
 func NewWith(placement Placement, settings Settings) *State {
 	return &State{
+		audience:    allMembers{},
 		placement:   placement,
 		settings:    settings.withDefaults(),
 		byUpstream:  make(map[model.UpstreamID]*lane),
--- a/internal/reducer/dispatch/ownership.go
+++ b/internal/reducer/dispatch/ownership.go
@@ -62,7 +62,7 @@
 			s.disown(ctx, l)
 		}
 	}
-	s.reportToNewMembers(ctx)
+	s.reportToNewReaders(ctx)
 }
 
 // own dispatches for an upstream from now on, or goes on to.
--- a/internal/reducer/dispatch/report.go
+++ b/internal/reducer/dispatch/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
@@ -17,6 +18,8 @@
 	sent model.IndexReport
 	// at is when it was sent; zero if never.
 	at model.Instant
+	// readers lists who has been told since joining the audience.
+	readers []reader
 }
 
 // currentReport returns what the node knows of the upstream now.
@@ -36,7 +39,7 @@
 	}
 }
 
-// reportIfChanged tells all nodes when something that they route by has changed.
+// reportIfChanged tells the audience when something that they route by has changed.
 func (s *State) reportIfChanged(ctx *step.Context, l *lane) {
 	if !l.owner || l.status.observed == 0 && !l.isDraining() {
 		return
@@ -62,45 +65,66 @@
 	}
 }
 
-// sendReport tells all nodes, this one included.
+// sendReport tells the service's audience and this node.
 func (s *State) sendReport(ctx *step.Context, l *lane, r model.IndexReport) {
-	l.reported = report{sent: r, at: ctx.Now}
+	l.reported.sent = r
+	l.reported.at = ctx.Now
 	m := message.IndexReport{Report: r}
-	ctx.Broadcast(m)
+	for _, host := range s.audience.Readers(ctx, l.upstream.ID.Service()) {
+		ctx.Send(host, m)
+	}
+	l.reported.readers = s.readers(ctx, l)
 	ctx.Send(ctx.Self.Host, m)
 }
 
-// reader is a member that has got all reports.
+// reader is a life of a member that has got a lane's reports.
 type reader struct {
 	host        model.HostID
 	incarnation model.Incarnation
 }
 
-// reportToNewMembers tells the members that may have missed reports what is known
-// of all upstreams: those that have joined, started again, or were suspected.
-func (s *State) reportToNewMembers(ctx *step.Context) {
-	known := make(map[reader]bool, len(s.readers))
-	for _, r := range s.readers {
-		known[r] = true
+// SetAudience names who hears of upstreams; without it all members do.
+func (s *State) SetAudience(audience Audience) { s.audience = audience }
+
+// reportToNewReaders tells those what is known of the upstreams that may have
+// missed reports: members that have joined the audience, started again, or were
+// suspected.
+func (s *State) reportToNewReaders(ctx *step.Context) {
+	for _, l := range s.lanes {
+		if l.owner && l.reported.at != 0 {
+			s.reportLane(ctx, l)
+		}
 	}
-	s.readers = s.readers[:0]
-	for _, member := range ctx.View.Members() {
-		if member.Host == ctx.Self.Host || member.State == model.Suspected {
-			continue
+}
+
+// reportLane tells a lane's new readers what is known of its upstream.
+func (s *State) reportLane(ctx *step.Context, l *lane) {
+	readers := s.readers(ctx, l)
+	for _, r := range readers {
+		if !slices.Contains(l.reported.readers, r) {
+			ctx.Send(r.host, message.IndexReport{Report: l.currentReport(ctx)})
 		}
-		r := reader{host: member.Host, incarnation: member.Incarnation}
-		s.readers = append(s.readers, r)
-		if !known[r] {
-			s.reportAllTo(ctx, member.Host)
+	}
+	l.reported.readers = readers
+}
+
+// readers returns the audience of a lane without suspected members, which may
+// miss what is sent.
+func (s *State) readers(ctx *step.Context, l *lane) []reader {
+	var readers []reader
+	for _, host := range s.audience.Readers(ctx, l.upstream.ID.Service()) {
+		if member, known := ctx.View.Member(host); known && member.State != model.Suspected {
+			readers = append(readers, reader{host: host, incarnation: member.Incarnation})
 		}
 	}
+	return readers
 }
 
-// reportAllTo tells one node what is known of all upstreams.
-func (s *State) reportAllTo(ctx *step.Context, host model.HostID) {
+// ReportServices tells one node what is known of the upstreams of services.
+func (s *State) ReportServices(ctx *step.Context, services []model.ServiceName, to model.HostID) {
 	for _, l := range s.lanes {
-		if l.owner && l.reported.at != 0 {
-			ctx.Send(host, message.IndexReport{Report: l.currentReport(ctx)})
+		if l.owner && l.reported.at != 0 && slices.Contains(services, l.upstream.ID.Service()) {
+			ctx.Send(to, message.IndexReport{Report: l.currentReport(ctx)})
 		}
 	}
 }
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -7,6 +7,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/admission"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/interest"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/session"
@@ -24,6 +25,8 @@
 	Configuration config.Description `json:"configuration"`
 	// KnownUpstreams is the number of upstreams with a report in the catalog.
 	KnownUpstreams int `json:"known_upstreams"`
+	// Interest counts the services that nodes outside their subsets ask for.
+	Interest interest.Description `json:"interest"`
 	// Dispatch and Admission describe what the node does for upstreams and users.
 	Dispatch  dispatch.Description  `json:"dispatch"`
 	Admission admission.Description `json:"admission"`
@@ -56,6 +59,7 @@
 		InFlight:       s.openRequests(),
 		Session:        s.session.Describe(ctx.Now),
 		Quarantine:     s.quarantine.Describe(ctx.Now),
+		Interest:       s.interest.Describe(),
 		Dispatch:       s.dispatch.Describe(ctx.Now),
 		Admission:      s.admission.Describe(),
 	}
--- a/internal/reducer/entry/placement.go
+++ b/internal/reducer/entry/placement.go
@@ -41,6 +41,10 @@
 	return s.view
 }
 
+// SubsetSize returns how many nodes serve the callers of one service while
+// enough members are known.
+func (s *State) SubsetSize() int { return s.settings.SubsetSize }
+
 // MaxDispatchers returns how many nodes dispatch for one upstream while enough
 // members are known.
 func (s *State) MaxDispatchers() int { return s.settings.Dispatchers }
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -130,7 +130,7 @@
 
 // openRequests counts what an exit would cut.
 func (s *State) openRequests() int {
-	return s.query.InFlight() + s.session.InFlight() + s.dispatch.InFlight()
+	return s.interest.InFlight() + s.query.InFlight() + s.session.InFlight() + s.dispatch.InFlight()
 }
 
 // exit ends the process and logs what it cuts.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -12,6 +12,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/config"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/entry"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/interest"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/membership"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query"
@@ -77,6 +78,7 @@
 	admission  *admission.State
 	quarantine *quarantine.State
 	entry      *entry.State
+	interest   *interest.State
 	dispatch   *dispatch.State
 	query      *query.State
 	session    *session.State
@@ -105,7 +107,9 @@
 		source:     rand.NewPCG(0, 0),
 	}
 	s.config.SetHosts(s.membership)
+	s.interest = interest.New(s.entry)
 	s.dispatch = dispatch.NewWith(s.entry, settings.Dispatch)
+	s.dispatch.SetAudience(s.interest)
 	s.query = query.NewWith(query.Parts{
 		Catalog:    s.catalog,
 		Placement:  s.entry,
@@ -177,6 +181,9 @@
 		s.query.HandleResult(ctx, from, m)
 	case message.IndexReport:
 		s.catalog.HandleReport(ctx, m.Report)
+	case message.IndexInterest:
+		s.interest.HandleInterest(ctx, from, m)
+		s.dispatch.ReportServices(ctx, m.Services, from)
 	case message.OrderForward:
 		s.session.HandleForward(ctx, from, m)
 	case message.OrderOutcome:
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -24,6 +24,7 @@
 	case event.Order:
 		s.session.HandleOrder(ctx, e)
 	case event.CallerGone:
+		s.interest.HandleCallerGone(e.Call)
 		s.query.HandleCallerGone(ctx, e.Call)
 		s.session.HandleCallerGone(ctx, e.Call)
 	case event.PeerMessage:
@@ -103,6 +104,8 @@
 	case timer.Membership:
 		s.membership.SetConvictions(s.quarantine.Hash())
 		s.viewChanged(ctx, s.membership.HandleTimer(ctx, due.ID))
+	case timer.Interest:
+		s.stepInterest(ctx, due.ID)
 	case timer.Lifecycle:
 		s.handleLifecycleTimer(ctx)
 	}
@@ -145,6 +148,7 @@
 	s.membership.SetRevision(ctx.Now, ctx.Config.Revision)
 	ctx.Self = s.membership.Self()
 	s.quarantine.HandleConfig(ctx)
+	s.interest.HandleConfig(ctx)
 	s.dispatch.HandleConfig(ctx)
 	s.viewChanged(ctx, s.membership.HandleConfig(ctx))
 }
@@ -155,9 +159,20 @@
 		s.refuseSearch(ctx, e)
 		return
 	}
+	services, failure := s.catalog.Resolve(ctx, e.Services)
+	if failure == nil && s.interest.Seek(ctx, e, services) {
+		return
+	}
 	s.query.HandleSearch(ctx, e)
 }
 
+// stepInterest starts a search that has waited for reports.
+func (s *State) stepInterest(ctx *step.Context, id uint64) {
+	if search, ok := s.interest.HandleTimer(ctx, id); ok {
+		s.query.HandleSearch(ctx, search)
+	}
+}
+
 // stepStatement answers a question or proposes a change.
 func (s *State) stepStatement(ctx *step.Context, e event.Statement) {
 	script, failure := statement.Parse(e.Text)
--- a/internal/reducer/timer/timer.go
+++ b/internal/reducer/timer/timer.go
@@ -22,6 +22,7 @@
 	Entry
 	Admission
 	Lifecycle
+	Interest
 )
 
 // Timer wakes its owner at a time.
--- a/internal/virtual/deploy.go
+++ b/internal/virtual/deploy.go
@@ -92,7 +92,11 @@
 	}
 	var result effect.StatementResult
 	w.Statement(first, event.Statement{Text: statement.Print(config)}, func(r effect.StatementResult) { result = r })
-	whole := func(d reducer.Dump) bool { return d.KnownUpstreams == len(w.upstreams) }
+	whole := func(d reducer.Dump) bool {
+		// In a large world a node hears of its own services' upstreams only.
+		isScoped := len(w.nodes) > w.nodes[0].settings().Entry.SubsetSize
+		return d.Revision > 0 && (isScoped || d.KnownUpstreams == len(w.upstreams))
+	}
 	if w.runUntilAll(whole) {
 		return nil
 	}
