--- a/examples/load-run.sh
+++ b/examples/load-run.sh
@@ -21,8 +21,9 @@
 phase() { # NAME SERVICE RATE [load flags]: prints one row
   local name=$1 service=$2 at=$3
   shift 3
+  phases=$((phases + 1))
   "$command" load --entry 127.0.0.1:17001 --entry 127.0.0.1:17002 --entry 127.0.0.1:17003 --entry 127.0.0.1:17004 \
-    --service "$service" --rate "$at" --duration "${seconds}s" --seed "$seed" -o json "$@" >"$work/report.json"
+    --service "$service" --rate "$at" --duration "${seconds}s" --seed "$((seed * 100 + phases))" -o json "$@" >"$work/report.json"
   read_field() { sed -n "s/^ *\"$1\": \([0-9.e+-]*\),\{0,1\}$/\1/p" "$work/report.json"; }
   printf '| %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n' "$policy" "$name" \
     "$(read_field requests)" "$(read_field p50_ms)" "$(read_field p95_ms)" "$(read_field p99_ms)" "$(read_field p99_9_ms)" \
@@ -37,9 +38,10 @@
 echo '| policy | phase | requests | p50 ms | p95 ms | p99 ms | p99.9 ms | coverage | extra work | partial | not run | unknown | failed | foreign or mixed |'
 echo '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'
 for policy in plain full; do
+  phases=0
   start_standins
   if [ "$policy" = plain ]; then
-    sed -i 's/repeat yes hedge budget 5%/repeat yes hedge budget 0%/' "$work/configuration.ht"
+    sed -i 's/repeat yes hedge budget 5%/repeat yes hedge budget 0%/; s/refuse queue/canary no refuse queue/' "$work/configuration.ht"
   fi
   start_nodes "$policy"
 
--- a/internal/reducer/dispatch/report.go
+++ b/internal/reducer/dispatch/report.go
@@ -10,8 +10,14 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
-// reportRefresh is the time after which an unchanged report is sent again.
-const reportRefresh = 5 * time.Second
+// Repetition of unchanged reports.
+const (
+	// reportRefresh is the time after which an unchanged report is sent again, and
+	// reportRefreshMany the same for an audience of more than manyReaders.
+	reportRefresh     = 5 * time.Second
+	reportRefreshMany = 15 * time.Second
+	manyReaders       = 16
+)
 
 // report is what the other nodes were last told of an upstream.
 type report struct {
@@ -60,7 +66,11 @@
 
 // refreshReport repeats a report that is old, for nodes that have missed it.
 func (s *State) refreshReport(ctx *step.Context, l *lane) {
-	if l.owner && l.reported.at != 0 && ctx.Now.Sub(l.reported.at) >= reportRefresh {
+	interval := reportRefresh
+	if len(l.reported.readers) > manyReaders {
+		interval = reportRefreshMany
+	}
+	if l.owner && l.reported.at != 0 && ctx.Now.Sub(l.reported.at) >= interval {
 		s.sendReport(ctx, l, l.currentReport(ctx))
 	}
 }
