State dump: bounded lists of members and services

Change: at most 256 of each, with the number left out. Conclusion: the parts' own descriptions were bounded already.

--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -14,13 +14,23 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
+// Bounds of the lists in a dump.
+const (
+	maxDumpedMembers  = 256
+	maxDumpedServices = 256
+)
+
 // Dump is the state dump: what the node believes, taken between two events.
 type Dump struct {
 	Self     model.Member   `json:"self"`
 	State    string         `json:"state"`
 	Members  []model.Member `json:"members"`
 	Revision model.Revision `json:"revision"`
-	Config   *model.Config  `json:"config"`
+	// Config is what is in force, without keys.
+	Config *model.Config `json:"config"`
+	// OmittedMembers and OmittedServices count what the lists have no room for.
+	OmittedMembers  int `json:"omitted_members,omitempty"`
+	OmittedServices int `json:"omitted_services,omitempty"`
 	// Configuration is where the node stands with the configuration log.
 	Configuration config.Description `json:"configuration"`
 	// KnownUpstreams is the number of upstreams with a report in the catalog.
@@ -46,23 +56,37 @@
 
 // describe gathers the descriptions of the parts.
 func (s *State) describe(ctx *step.Context) Dump {
+	members, omittedMembers := firstOf(s.membership.Members(), maxDumpedMembers)
+	config := ctx.Config.WithoutKeys()
+	var omittedServices int
+	config.Services, omittedServices = firstOf(config.Services, maxDumpedServices)
 	return Dump{
-		Self:           s.membership.Self(),
-		State:          string(s.lifecycle.state),
-		Members:        s.membership.Members(),
-		Revision:       ctx.Config.Revision,
-		Config:         ctx.Config.WithoutKeys(),
-		KnownUpstreams: s.catalog.Len(),
-		Configuration:  s.config.Describe(ctx.Now),
-		Query:          s.query.Describe(ctx),
-		Timers:         s.timers.Len(),
-		InFlight:       s.openRequests(),
-		Session:        s.session.Describe(ctx.Now),
-		Quarantine:     s.quarantine.Describe(ctx.Now),
-		Interest:       s.interest.Describe(),
-		Dispatch:       s.dispatch.Describe(ctx.Now),
-		Admission:      s.admission.Describe(),
+		Self:            s.membership.Self(),
+		State:           string(s.lifecycle.state),
+		Members:         members,
+		Revision:        ctx.Config.Revision,
+		Config:          config,
+		OmittedMembers:  omittedMembers,
+		OmittedServices: omittedServices,
+		KnownUpstreams:  s.catalog.Len(),
+		Configuration:   s.config.Describe(ctx.Now),
+		Query:           s.query.Describe(ctx),
+		Timers:          s.timers.Len(),
+		InFlight:        s.openRequests(),
+		Session:         s.session.Describe(ctx.Now),
+		Quarantine:      s.quarantine.Describe(ctx.Now),
+		Interest:        s.interest.Describe(),
+		Dispatch:        s.dispatch.Describe(ctx.Now),
+		Admission:       s.admission.Describe(),
+	}
+}
+
+// firstOf returns at most limit of some values, and how many are left out.
+func firstOf[T any](values []T, limit int) (first []T, omitted int) {
+	if len(values) <= limit {
+		return values, 0
 	}
+	return values[:limit], len(values) - limit
 }
 
 // dump encodes the state as JSON.
