--- a/internal/deployment/today.go
+++ b/internal/deployment/today.go
@@ -25,6 +25,18 @@
 	return policy
 }
 
+// The shapes of Versos Aranguiz's upstreams.
+var (
+	counterShape = Shape{
+		Upstreams: 3, Slots: 2, Connections: 25,
+		ConnectTime: 6 * time.Millisecond, ServiceTime: 3 * time.Millisecond,
+	}
+	printRoomShape = Shape{
+		Upstreams: 7, Slots: 3, Connections: 110,
+		ConnectTime: time.Millisecond, ServiceTime: 10 * time.Millisecond,
+	}
+)
+
 // Demo returns the deployment of the demo command.
 func Demo() Deployment {
 	return Deployment{
@@ -33,18 +45,12 @@
 		Groups: []Group{
 			{
 				Name: "counter", Services: 10,
-				Shape: Shape{
-					Upstreams: 3, Slots: 2, Connections: 25,
-					ConnectTime: 6 * time.Millisecond, ServiceTime: 3 * time.Millisecond,
-				},
+				Shape:  counterShape,
 				Policy: searchPolicy(80*time.Millisecond, 500*time.Millisecond, 90),
 			},
 			{
 				Name: "print-room", Services: 1,
-				Shape: Shape{
-					Upstreams: 7, Slots: 3, Connections: 110,
-					ConnectTime: time.Millisecond, ServiceTime: 10 * time.Millisecond,
-				},
+				Shape:  printRoomShape,
 				Policy: orderPolicy(2 * time.Second),
 			},
 		},
@@ -53,15 +59,7 @@
 
 // Aranguiz returns the services of Versos Aranguiz e Hijos at today's sizes.
 func Aranguiz() Deployment {
-	small := Shape{
-		Upstreams: 3, Slots: 2, Connections: 25,
-		ConnectTime: 6 * time.Millisecond, ServiceTime: 3 * time.Millisecond,
-	}
-	large := Shape{
-		Upstreams: 7, Slots: 3, Connections: 110,
-		ConnectTime: time.Millisecond, ServiceTime: 10 * time.Millisecond,
-	}
-	supplier := large
+	supplier := printRoomShape
 	supplier.Upstreams = 3
 	search := searchPolicy(80*time.Millisecond, 200*time.Millisecond, 90)
 	// The tail weighs most here: a search does not wait for a canary.
@@ -71,9 +69,9 @@
 		FailureDomains: []model.FailureDomain{"santiago-1", "santiago-2", "santiago-3"},
 		Delay:          500 * time.Microsecond,
 		Groups: []Group{
-			{Name: "counter", Services: 10, Shape: small, Policy: search},
-			{Name: "card-stock", Services: 15, Shape: small, Policy: search},
-			{Name: "print-room", Services: 1, Shape: large, Policy: orderPolicy(2 * time.Second)},
+			{Name: "counter", Services: 10, Shape: counterShape, Policy: search},
+			{Name: "card-stock", Services: 15, Shape: counterShape, Policy: search},
+			{Name: "print-room", Services: 1, Shape: printRoomShape, Policy: orderPolicy(2 * time.Second)},
 			{Name: "supplier", Services: 1, Shape: supplier, Policy: orderPolicy(2 * time.Second)},
 		},
 	}
--- a/internal/runtime/calls.go
+++ b/internal/runtime/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
@@ -34,60 +35,67 @@
 
 // Search runs a search; it returns the context's error when the caller is gone.
 func (c *Calls) Search(ctx context.Context, e event.Search) (model.Answer, error) {
-	reply, err := c.do(ctx, func(id model.CallID) event.Event {
+	reply, err := call[effect.ReplyCaller](ctx, c, func(id model.CallID) event.Event {
 		e.Call = id
 		return e
 	})
-	if err != nil {
-		return model.Answer{}, err
-	}
-	return reply.(effect.ReplyCaller).Answer, nil
+	return reply.Answer, err
 }
 
 // Order runs an order; it returns the context's error when the caller is gone.
 func (c *Calls) Order(ctx context.Context, e event.Order) (model.Answer, error) {
-	reply, err := c.do(ctx, func(id model.CallID) event.Event {
+	reply, err := call[effect.ReplyCaller](ctx, c, func(id model.CallID) event.Event {
 		e.Call = id
 		return e
 	})
-	if err != nil {
-		return model.Answer{}, err
-	}
-	return reply.(effect.ReplyCaller).Answer, nil
+	return reply.Answer, err
 }
 
 // Entry asks which addresses to use for a service.
 func (c *Calls) Entry(ctx context.Context, service string) (effect.ReplyEntry, error) {
-	reply, err := c.do(ctx, func(id model.CallID) event.Event {
+	return call[effect.ReplyEntry](ctx, c, func(id model.CallID) event.Event {
 		return event.Entry{Call: id, Service: service}
 	})
-	if err != nil {
-		return effect.ReplyEntry{}, err
-	}
-	return reply.(effect.ReplyEntry), nil
 }
 
 // Statement runs an operator's text.
 func (c *Calls) Statement(ctx context.Context, e event.Statement) (effect.StatementResult, error) {
-	reply, err := c.do(ctx, func(id model.CallID) event.Event {
+	reply, err := call[effect.ReplyStatement](ctx, c, func(id model.CallID) event.Event {
 		e.Call = id
 		return e
 	})
-	if err != nil {
-		return effect.StatementResult{}, err
-	}
-	return reply.(effect.ReplyStatement).Result, nil
+	return reply.Result, err
 }
 
 // Dump returns the state dump as JSON.
 func (c *Calls) Dump(ctx context.Context) ([]byte, error) {
-	reply, err := c.do(ctx, func(id model.CallID) event.Event {
+	reply, err := call[effect.ReplyDump](ctx, c, func(id model.CallID) event.Event {
 		return event.DumpRequest{Call: id}
 	})
+	return reply.JSON, err
+}
+
+// UnexpectedReplyError reports a reply of another kind than the call's.
+type UnexpectedReplyError struct {
+	Reply effect.Effect
+}
+
+// Error implements error.
+func (e *UnexpectedReplyError) Error() string { return fmt.Sprintf("unexpected reply %T", e.Reply) }
+
+// call submits an event and waits for a reply of one kind; it returns the
+// context's error when the caller is gone.
+func call[R effect.Effect](ctx context.Context, c *Calls, build func(model.CallID) event.Event) (R, error) {
+	var none R
+	reply, err := c.do(ctx, build)
 	if err != nil {
-		return nil, err
+		return none, err
+	}
+	expected, ok := reply.(R)
+	if !ok {
+		return none, &UnexpectedReplyError{Reply: reply}
 	}
-	return reply.(effect.ReplyDump).JSON, nil
+	return expected, nil
 }
 
 // do submits an event under a new identifier and waits for the reply.
