Crossed and duplicated replies over a real connection

Change: TestCrossedReply and TestDuplicatedReply against a raw HTTP responder. Conclusion: a crossed reply is never delivered and loses its attempt; a second reply ends the connection.

--- /dev/null
+++ b/internal/upstream/crossed_test.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// respond serves one connection and answers each request with one reply for each
+// of the attempts that name returns.
+func respond(t *testing.T, name func(asked string) []string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		socket, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer socket.Close()
+		reader := bufio.NewReader(socket)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			for _, attempt := range name(request.Header.Get(AttemptHeader)) {
+				const body = `{"execution":"e1"}`
+				fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", AttemptHeader, attempt, len(body), body)
+			}
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// runOrder opens a connection, sends one order and returns the events after the
+// opening, until the connection has ended.
+func runOrder(t *testing.T, address string, attempt model.AttemptID) []event.Event {
+	t.Helper()
+	events := make(chan event.Event, 16)
+	pool := NewPool(nil, func(e event.Event) { events <- e })
+	defer pool.CloseAll()
+	pool.Open(effect.OpenConnection{Connection: 1, Address: address})
+	if _, opened := (<-events).(event.ConnectionOpened); !opened {
+		t.Fatal("the connection was not opened")
+	}
+	pool.Send(effect.SendUpstream{Connection: 1, Attempt: attempt, Kind: message.KindOrder, Body: []byte(`{}`)})
+	var seen []event.Event
+	for e := range events {
+		seen = append(seen, e)
+		if _, closed := e.(event.ConnectionClosed); closed {
+			break
+		}
+	}
+	return seen
+}
+
+// TestCrossedReply checks that a reply which carries another attempt's identifier
+// is not delivered, and ends the connection with its attempt lost.
+func TestCrossedReply(t *testing.T) {
+	attempt := model.AttemptID{Host: "a", Incarnation: 1, Number: 7}
+	address := respond(t, func(string) []string { return []string{"a-1-8"} })
+	seen := runOrder(t, address, attempt)
+	closed, ok := seen[0].(event.ConnectionClosed)
+	if !ok || !closed.Mismatch || closed.Attempt != attempt || !closed.Written {
+		t.Fatalf("got %+v", seen)
+	}
+}
+
+// TestDuplicatedReply checks that a reply which comes twice is delivered once,
+// and that the second ends the connection without an attempt.
+func TestDuplicatedReply(t *testing.T) {
+	attempt := model.AttemptID{Host: "a", Incarnation: 1, Number: 7}
+	address := respond(t, func(asked string) []string { return []string{asked, asked} })
+	seen := runOrder(t, address, attempt)
+	if len(seen) != 2 {
+		t.Fatalf("got %+v", seen)
+	}
+	reply, ok := seen[0].(event.UpstreamReply)
+	if !ok || reply.Attempt != attempt || reply.Status != event.UpstreamAnswered {
+		t.Errorf("first came %+v", seen[0])
+	}
+	closed, ok := seen[1].(event.ConnectionClosed)
+	if !ok || !closed.Mismatch || !closed.Attempt.IsZero() {
+		t.Errorf("then came %+v", seen[1])
+	}
+}
