Read-through: no pattern look-up for nothing, no writer that nobody reads

Every search resolved its services twice, also in a fleet where nothing can be parked; a writer in the connection noted whether it had written, and nothing asked it: the mark before the write already is the point of no return. Change: services are resolved for parking only while reports are scoped; the writer is gone.

--- a/internal/reducer/interest/interest.go
+++ b/internal/reducer/interest/interest.go
@@ -86,7 +86,7 @@
 	for _, member := range s.listeners(ctx, service) {
 		hosts = append(hosts, member.Host)
 	}
-	if s.isScoped(ctx) {
+	if s.IsScoped(ctx) {
 		for _, a := range s.askers[service] {
 			if ctx.Now.Before(a.until) {
 				hosts = append(hosts, a.host)
@@ -100,14 +100,14 @@
 
 // listeners returns the members that hear of a service without asking.
 func (s *State) listeners(ctx *step.Context, service model.ServiceName) []model.Member {
-	if !s.isScoped(ctx) {
+	if !s.IsScoped(ctx) {
 		return ctx.View.Members()
 	}
 	return s.placement.Subset(service, ctx.View.Members())
 }
 
-// isScoped reports whether there are more members than a service's subset.
-func (s *State) isScoped(ctx *step.Context) bool {
+// IsScoped reports whether there are more members than a service's subset.
+func (s *State) IsScoped(ctx *step.Context) bool {
 	return len(ctx.View.Members()) > s.placement.SubsetSize()
 }
 
@@ -127,13 +127,10 @@
 	return append(askers, asker{host: from, until: ctx.Now.Add(keepFor)})
 }
 
-// Seek asks for the services of a search that this node does not hear of. It
-// reports whether the search was parked, because the node knows nothing recent
+// Seek asks for the services of a search that this node does not hear of. While
+// reports are not scoped there are none, and it need not be called. It reports whether the search was parked, because the node knows nothing recent
 // of one of them.
 func (s *State) Seek(ctx *step.Context, search event.Search, services []*model.Service) bool {
-	if !s.isScoped(ctx) {
-		return false
-	}
 	var stale []*model.Service
 	unknown := false
 	for _, service := range services {
--- a/internal/reducer/step.go
+++ b/internal/reducer/step.go
@@ -159,13 +159,19 @@
 		s.refuseSearch(ctx, e)
 		return
 	}
-	services, failure := s.catalog.Resolve(ctx, e.Services)
-	if failure == nil && s.interest.Seek(ctx, e, services) {
+	if s.interest.IsScoped(ctx) && s.isParked(ctx, e) {
 		return
 	}
 	s.query.HandleSearch(ctx, e)
 }
 
+// isParked reports whether a search was made to wait for the reports of its
+// services. One that names no service goes on, to be refused.
+func (s *State) isParked(ctx *step.Context, e event.Search) bool {
+	services, failure := s.catalog.Resolve(ctx, e.Services)
+	return failure == nil && s.interest.Seek(ctx, e, services)
+}
+
 // stepInterest starts a search that has waited for reports.
 func (s *State) stepInterest(ctx *step.Context, id uint64) {
 	if search, ok := s.interest.HandleTimer(ctx, id); ok {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -73,18 +73,6 @@
 	closed  bool
 }
 
-// countingWriter notes whether any byte was passed on.
-type countingWriter struct {
-	w     io.Writer
-	wrote bool
-}
-
-// Write implements io.Writer. A failed write may still have sent bytes.
-func (c *countingWriter) Write(p []byte) (int, error) {
-	c.wrote = true
-	return c.w.Write(p)
-}
-
 // start writes a request. It reports the end of the connection if that fails.
 func (c *connection) start(e *exchange) {
 	c.mu.Lock()
@@ -103,15 +91,14 @@
 		c.end(fmt.Errorf("encode request: %w", err), false)
 		return
 	}
-	out := &countingWriter{w: c.socket}
 	c.setWritten()
-	if _, err := out.Write(encoded.Bytes()); err != nil {
+	if _, err := c.socket.Write(encoded.Bytes()); err != nil {
 		c.end(fmt.Errorf("write request: %w", err), false)
 	}
 }
 
 // setWritten marks the point of no return: from here on the upstream may have
-// the request.
+// the request, also when the write fails.
 func (c *connection) setWritten() {
 	c.mu.Lock()
 	c.written = true
