--- a/cmd/hawthorntack/main.go
+++ b/cmd/hawthorntack/main.go
@@ -46,6 +46,7 @@
 	parser.LongDescription = "A query tier over many shards. Every flag can also be set by the environment variable that its help names."
 	for _, add := range []func(*flags.Parser, streams) error{
 		addNode,
+		addEdge,
 		addDemo,
 		addDump,
 		addLoad,
--- a/cmd/hawthorntack/node.go
+++ b/cmd/hawthorntack/node.go
@@ -186,11 +186,6 @@
 			d.Stop()
 			continue
 		}
-		dump, err := d.Dump(context.Background())
-		if err != nil {
-			log.WithField("component", "node").WithError(err).Warn("no state dump")
-			continue
-		}
-		log.WithField("component", "node").WithField("state", string(dump)).Info("state dump")
+		logDump(d, log)
 	}
 }
--- a/internal/model/answer.go
+++ b/internal/model/answer.go
@@ -13,6 +13,7 @@
 const (
 	CodeBadRequest       Code = "bad_request"
 	CodeUnknownService   Code = "unknown_service"
+	CodeUnknownRoute     Code = "unknown_route"
 	CodeTooLarge         Code = "too_large"
 	CodeOverloaded       Code = "overloaded"
 	CodeRateLimited      Code = "rate_limited"
--- a/internal/reducer/dispatch/connection.go
+++ b/internal/reducer/dispatch/connection.go
@@ -2,12 +2,12 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/backoff"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -64,30 +64,8 @@
 	// controlConnections is kept beside the slots for status reads and
 	// cancellations.
 	controlConnections = 1
-	// firstBackoff and longestBackoff bound the time between two attempts to
-	// connect.
-	firstBackoff   = 50 * time.Millisecond
-	longestBackoff = 1 * time.Second
-	// maxDoublings bounds the exponent of the backoff.
-	maxDoublings = 10
 )
 
-// backoff spaces attempts to connect after refusals.
-type backoff struct {
-	failures int
-	// until is the time of the next attempt; zero means now.
-	until model.Instant
-}
-
-// fail puts the next attempt off, exponentially and with jitter of one half.
-func (b *backoff) fail(ctx *step.Context) time.Duration {
-	longest := min(longestBackoff, firstBackoff<<min(b.failures, maxDoublings))
-	b.failures++
-	delay := longest/2 + time.Duration(ctx.Random.Int64N(int64(longest/2)))
-	b.until = ctx.Now.Add(delay)
-	return delay
-}
-
 // wantedConnections returns how many connections the lane should have.
 func (s *State) wantedConnections(l *lane) int {
 	if l.owner && s.settings.OpenAll {
@@ -105,7 +83,7 @@
 // connect opens missing connections, few at a time. Connections that are being
 // closed still count.
 func (s *State) connect(ctx *step.Context, l *lane) {
-	if !l.owner || l.opening.until > ctx.Now {
+	if !l.owner || l.opening.Until > ctx.Now {
 		return
 	}
 	for len(l.connections) < s.wantedConnections(l) && l.countState(connecting) < s.settings.MaxOpening {
@@ -143,7 +121,7 @@
 	first := !l.isOpen()
 	c.take(ctx, idle)
 	c.opened = ctx.Now
-	l.opening = backoff{}
+	l.opening = backoff.Backoff{}
 	if first {
 		l.limit.StartSlowly(ctx.Now)
 		l.status.due = true
@@ -178,7 +156,7 @@
 
 // connectFailed puts the next attempt to connect off.
 func (s *State) connectFailed(ctx *step.Context, l *lane, c *connection) {
-	delay := l.opening.fail(ctx)
+	delay := l.opening.Fail(ctx)
 	l.setTimer(ctx, delay, connectTimer)
 	if ctx.Now.Sub(c.since) < probeTimeout {
 		s.noteProbe(ctx, l, probeRefused)
--- a/internal/reducer/dispatch/describe.go
+++ b/internal/reducer/dispatch/describe.go
@@ -79,7 +79,7 @@
 		Connections:      len(l.connections),
 		MaxConnections:   l.maxConnections,
 		Reachable:        l.isOpen(),
-		Failures:         l.opening.failures,
+		Failures:         l.opening.Failures,
 		DrainingBy:       string(l.drainingBy()),
 		ServiceTime:      l.service.mean,
 		StatusAge:        -1,
--- a/internal/reducer/dispatch/lane.go
+++ b/internal/reducer/dispatch/lane.go
@@ -6,6 +6,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/backoff"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch/limit"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch/queue"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -42,7 +43,7 @@
 
 	limit    limit.Limit
 	service  serviceTime
-	opening  backoff
+	opening  backoff.Backoff
 	collapse collapse
 	status   status
 	reported report
@@ -115,7 +116,7 @@
 
 // isUnreachable reports whether the last attempt to connect failed and no
 // connection is left.
-func (l *lane) isUnreachable() bool { return l.opening.failures > 0 && !l.isOpen() }
+func (l *lane) isUnreachable() bool { return l.opening.Failures > 0 && !l.isOpen() }
 
 // observeReply learns from an upstream's reply.
 func (s *State) observeReply(ctx *step.Context, l *lane, j *job, e event.UpstreamReply) {
--- a/internal/reducer/quarantine/quarantine.go
+++ b/internal/reducer/quarantine/quarantine.go
@@ -147,13 +147,15 @@
 
 // HandleCrash takes in that an upstream crashed under one of this node's
 // attempts, as the coordinator learned it from the dispatcher, and tells all
-// nodes.
-func (s *State) HandleCrash(ctx *step.Context, service model.ServiceName, print model.Fingerprint, result message.DispatchResult) {
+// nodes. It returns what it told them, and false if the crash was known.
+func (s *State) HandleCrash(ctx *step.Context, service model.ServiceName, print model.Fingerprint, result message.DispatchResult) (message.Suspicion, bool) {
 	c := content{service, print}
 	if !s.count(ctx, c, result.Attempt, result.Alone) {
-		return
+		return message.Suspicion{}, false
 	}
-	ctx.Broadcast(s.news(ctx, c, result.Upstream, result.Attempt, result.Alone))
+	news := s.news(ctx, c, result.Upstream, result.Attempt, result.Alone)
+	ctx.Broadcast(news)
+	return news, true
 }
 
 // news returns the message that tells of a crash.
--- a/internal/reducer/query/replica/choose.go
+++ b/internal/reducer/query/replica/choose.go
@@ -107,11 +107,12 @@
 
 // cost is the time to expect, with the wait for a slot.
 func cost(latency time.Duration, free int, r *snapshot.Replica) float64 {
+	expected := float64(latency) * max(1, r.Handicap)
 	if free > 0 {
-		return float64(latency)
+		return expected
 	}
 	waiting := float64(max(r.Queued, 0) - free + 1)
-	return float64(latency) * (1 + waiting/float64(max(r.Limit, 1)))
+	return expected * (1 + waiting/float64(max(r.Limit, 1)))
 }
 
 // weight is the preference among replicas that are about equally good.
--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -111,6 +111,9 @@
 	return 0
 }
 
+// Forget drops what was observed of an upstream.
+func (t *Table) Forget(id model.UpstreamID) { delete(t.stats, id) }
+
 // Keep forgets the upstreams that are not wanted any more.
 func (t *Table) Keep(wanted func(model.UpstreamID) bool) {
 	for id := range t.stats {
--- a/internal/reducer/snapshot/catalog.go
+++ b/internal/reducer/snapshot/catalog.go
@@ -75,6 +75,9 @@
 	ReportedAt model.Instant
 	// Updated is when the count arrived, on this node's clock.
 	Updated model.Instant
+	// Handicap multiplies the latency to expect, for what the mean of the past
+	// does not show yet, such as a pause that has just begun; zero means 1.
+	Handicap float64
 }
 
 // Usable reports whether the replica may get new work.
--- a/internal/reducer/timer/timer.go
+++ b/internal/reducer/timer/timer.go
@@ -23,6 +23,8 @@
 	Admission
 	Lifecycle
 	Interest
+	Relay
+	Registry
 )
 
 // Timer wakes its owner at a time.
--- a/internal/runtime/calls.go
+++ b/internal/runtime/calls.go
@@ -51,6 +51,15 @@
 	return reply.Answer, err
 }
 
+// Forward runs a routed request; it returns the context's error when the caller is
+// gone.
+func (c *Calls) Forward(ctx context.Context, request *model.ForwardRequest) (model.ForwardAnswer, error) {
+	reply, err := call[effect.ReplyForward](ctx, c, func(id model.CallID) event.Event {
+		return event.Forward{Call: id, Request: request}
+	})
+	return reply.Answer, err
+}
+
 // Entry asks which addresses to use for a service.
 func (c *Calls) Entry(ctx context.Context, service string) (effect.ReplyEntry, error) {
 	return call[effect.ReplyEntry](ctx, c, func(id model.CallID) event.Event {
--- a/internal/runtime/node.go
+++ b/internal/runtime/node.go
@@ -134,7 +134,7 @@
 	case effect.SendPeer:
 		n.client.Send(e.To, e.Address, e.Message)
 	case effect.Log:
-		n.log(e)
+		writeLog(n.options.Log, e)
 	case effect.PublishOperators:
 		n.operators.Store(&e.Operators)
 	case effect.Exit:
@@ -187,19 +187,3 @@
 	default:
 	}
 }
-
-// log writes a log line of the reducer.
-func (n *Node) log(e effect.Log) {
-	entry := n.options.Log.WithField("component", e.Component)
-	for _, f := range e.Fields {
-		entry = entry.WithField(f.Name, f.Value)
-	}
-	switch e.Severity {
-	case effect.Error:
-		entry.Error(e.Message)
-	case effect.Warning:
-		entry.Warn(e.Message)
-	default:
-		entry.Info(e.Message)
-	}
-}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -28,6 +28,9 @@
 	maxReplyBytes = 4 << 20
 	// replyBufferBytes is the size of the read buffer.
 	replyBufferBytes = 8 << 10
+	// smallRequestBytes is what a socket takes in one piece, so that a reply cannot
+	// come before the whole request was written.
+	smallRequestBytes = 4 << 10
 )
 
 // UnexpectedReplyError reports a reply that does not belong to the request on
@@ -53,7 +56,10 @@
 
 // exchange is one request and how to read its reply.
 type exchange struct {
+	// request tells how the reply is framed. It is also written, unless encoded
+	// holds the bytes to write.
 	request *http.Request
+	encoded []byte
 	// attempt is zero for status reads and cancellations.
 	attempt model.AttemptID
 	// handle turns a reply into the event that the reducer gets.
@@ -70,6 +76,8 @@
 	mu      sync.Mutex
 	pending *exchange
 	written bool
+	// flushed is true once the whole request has been handed to the socket.
+	flushed bool
 	closed  bool
 }
 
@@ -84,17 +92,34 @@
 	}
 	c.pending = e
 	c.written = false
+	c.flushed = false
 	c.mu.Unlock()
 
-	var encoded bytes.Buffer
-	if err := e.request.Write(&encoded); err != nil {
+	encoded, err := e.encode()
+	if err != nil {
 		c.end(fmt.Errorf("encode request: %w", err), false)
 		return
 	}
 	c.setWritten()
-	if _, err := c.socket.Write(encoded.Bytes()); err != nil {
+	if _, err := c.socket.Write(encoded); err != nil {
 		c.end(fmt.Errorf("write request: %w", err), false)
+		return
+	}
+	c.mu.Lock()
+	c.flushed = true
+	c.mu.Unlock()
+}
+
+// encode returns the bytes of the request.
+func (e *exchange) encode() ([]byte, error) {
+	if e.encoded != nil {
+		return e.encoded, nil
+	}
+	var encoded bytes.Buffer
+	if err := e.request.Write(&encoded); err != nil {
+		return nil, err
 	}
+	return encoded.Bytes(), nil
 }
 
 // setWritten marks the point of no return: from here on the upstream may have
@@ -140,6 +165,13 @@
 	if len(body) > maxReplyBytes {
 		return &ReplyTooLargeError{Limit: maxReplyBytes}
 	}
+	c.mu.Lock()
+	if reader.Buffered() > 0 || !c.flushed && len(e.encoded) > smallRequestBytes {
+		// More bytes than one reply, or a reply to half a request: what follows on
+		// the connection cannot be told apart.
+		response.Close = true
+	}
+	c.mu.Unlock()
 	result, err := e.handle(response, body)
 	if err != nil {
 		return err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,7 +5,12 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
@@ -17,6 +22,7 @@
 type Pool struct {
 	submit func(event.Event)
 	tls    *tls.Config
+	codec  Codec
 
 	mu          sync.Mutex
 	connections map[model.ConnectionID]*lane
@@ -47,6 +53,40 @@
 	}
 }
 
+// Codec writes forwarded requests and reads their replies in the upstreams' own
+// protocol over HTTP/1.1.
+type Codec interface {
+	// Encode returns the bytes of a request.
+	Encode(e effect.SendForward) []byte
+	// Decode classifies a whole reply. An error means that the reply does not
+	// belong to the request, and ends the connection.
+	Decode(e effect.SendForward, response *http.Response, body []byte) (event.ForwardReply, error)
+}
+
+// SetCodec sets the codec of forwarded requests. It must be called before the
+// first of them.
+func (p *Pool) SetCodec(codec Codec) { p.codec = codec }
+
+// Forward writes a routed request.
+func (p *Pool) Forward(e effect.SendForward) {
+	attempt := model.AttemptID{Number: e.Attempt}
+	l := p.lane(e.Connection)
+	if l == nil {
+		p.report(event.ConnectionClosed{Connection: e.Connection, Attempt: attempt, Reason: "already closed"})
+		return
+	}
+	p.start(l, e.Connection, &exchange{
+		request: &http.Request{Method: e.Request.Method},
+		encoded: p.codec.Encode(e),
+		attempt: attempt,
+		handle: func(response *http.Response, body []byte) (event.Event, error) {
+			reply, err := p.codec.Decode(e, response, body)
+			reply.Closing = response.Close
+			return reply, err
+		},
+	})
+}
+
 // Open dials an upstream; ConnectionOpened or ConnectionClosed follows.
 func (p *Pool) Open(e effect.OpenConnection) {
 	ctx, cancel := context.WithCancel(p.ctx)
@@ -181,7 +221,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := &net.Dialer{}
+	dialer := &net.Dialer{Control: limitUnacknowledged}
 	if p.tls == nil {
 		socket, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
@@ -195,3 +235,22 @@
 	}
 	return socket, nil
 }
+
+// unacknowledgedTimeout ends a connection whose peer acknowledges nothing, such as
+// one behind a partition. It is longer than a lost packet's first repetitions.
+const unacknowledgedTimeout = 2 * time.Second
+
+// limitUnacknowledged sets the socket's timeout for unacknowledged bytes.
+func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return fmt.Errorf("reach the socket: %w", err)
+	}
+	if failed != nil {
+		return fmt.Errorf("limit unacknowledged bytes: %w", failed)
+	}
+	return nil
+}
