--- a/internal/reducer/relay/lane.go
+++ b/internal/reducer/relay/lane.go
@@ -246,6 +246,9 @@
 	warmingHandicap = 1.6
 	// coldHandicap is that of a connection that must be opened first.
 	coldHandicap = 1.5
+	// remoteHandicap is that of another failure domain: bytes between domains are
+	// paid for, and a near upstream that is a little slower is as good.
+	remoteHandicap = 2
 	// failingWeight turns the share of failed outcomes into a handicap: a failed
 	// attempt costs the time of a hedge or retry.
 	failingWeight = 20
@@ -265,6 +268,9 @@
 	if l.openConnections() == 0 {
 		h *= coldHandicap
 	}
+	if l.replica.Domain != ctx.Self.FailureDomain {
+		h *= remoteHandicap
+	}
 	return h * (1 + failingWeight*l.failingShare(ctx.Now))
 }
 
