--- a/internal/reducer/relay/finish.go
+++ b/internal/reducer/relay/finish.go
@@ -24,26 +24,25 @@
 			s.hedge(ctx, r, i)
 		}
 	}
-	if ctx.Now >= r.offerBy {
+	if ctx.Now >= r.offerBy && !r.offered {
 		s.failUnsent(ctx, r)
 	}
 	s.progress(ctx, r)
 }
 
-// failUnsent gives up the parts that no upstream was offered in time. It answers
+// failUnsent gives up a request that no upstream was offered in time. It answers
 // the pattern "more work than slots": a caller that hears at once can come back
-// while its answer is still worth something.
+// while its answer is still worth something. Once some shards of a request work,
+// the others' queues are worth waiting for.
 func (s *State) failUnsent(ctx *step.Context, r *request) {
 	for i := range r.parts {
 		p := &r.parts[i]
-		a := p.unsent()
-		if p.state != partOpen || a == nil || p.open > 1 || p.ran > 0 {
-			continue
+		if a := p.unsent(); a != nil {
+			s.takeBack(ctx, a)
 		}
-		s.takeBack(ctx, a)
-		r.reason = model.CodeOverloaded
 		r.settle(p, partFailed)
 	}
+	r.reason = model.CodeOverloaded
 }
 
 // progress answers a request that has come to its end, and else sets its timer.
--- a/internal/reducer/relay/lane.go
+++ b/internal/reducer/relay/lane.go
@@ -208,6 +208,7 @@
 	l.inFlight = append(l.inFlight, a)
 	r := a.request
 	r.parts[a.part].ran++
+	r.offered = true
 	ctx.Emit(effect.SendForward{
 		Connection: c.id,
 		Attempt:    a.number,
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -55,12 +55,22 @@
 		return nil
 	}
 	l := s.lanes[best.ID]
-	if ctx.Now.Add(s.expectedWait(ctx, r, l)) > max(r.offerBy, ctx.Now) {
+	if ctx.Now.Add(s.expectedWait(ctx, r, l)) > max(r.queueUntil(), ctx.Now) {
 		return nil
 	}
 	return l
 }
 
+// queueUntil returns until when a part may wait for a slot: a single part must be
+// offered in time, and one of several must leave time for an answer with the
+// others.
+func (r *request) queueUntil() model.Instant {
+	if r.isGathered() {
+		return r.answerBy
+	}
+	return r.offerBy
+}
+
 // tried reports whether a part was offered to a lane.
 func (p *part) tried(l *lane) bool {
 	for _, a := range p.attempts {
@@ -90,7 +100,7 @@
 func (s *State) offer(ctx *step.Context, r *request, index int, l *lane, hedge bool) {
 	s.nextAttempt++
 	a := &attempt{number: s.nextAttempt, request: r, part: index, lane: l, created: ctx.Now, hedge: hedge}
-	a.waiting = queue.Entry[*attempt]{Deadline: r.offerBy, Expiry: r.deadline, Priority: uint32(r.config.Rank), Value: a}
+	a.waiting = queue.Entry[*attempt]{Deadline: r.queueUntil(), Expiry: r.deadline, Priority: uint32(r.config.Rank), Value: a}
 	p := &r.parts[index]
 	p.attempts = append(p.attempts, a)
 	p.open++
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -23,8 +23,8 @@
 	print   model.Fingerprint
 
 	arrived model.Instant
-	// offerBy is until when an upstream must have been offered the request: a
-	// later offer is worth less than an early refusal.
+	// offerBy is until when some upstream must have been offered the request: a
+	// later first offer is worth less than an early refusal.
 	offerBy model.Instant
 	// answerBy is when a gathered answer goes out with the parts that are in.
 	answerBy model.Instant
@@ -38,7 +38,9 @@
 	ledger    outcome.Ledger
 	// reason is why the last attempt failed.
 	reason model.Code
-	closed bool
+	// offered is true once any part was sent.
+	offered bool
+	closed  bool
 }
 
 // partState tells whether a part still needs work.
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -65,7 +65,9 @@
 		l.limit.Answered(ctx.Now)
 		l.noteOutcome(ctx.Now, false)
 	case event.ForwardNotRun:
-		l.limit.Shed(ctx.Now, a.sent, 0)
+		if l.isFull(e.Load) {
+			l.limit.Shed(ctx.Now, a.sent, 0)
+		}
 		l.noteOutcome(ctx.Now, true)
 	case event.ForwardMisdirected:
 		ctx.Count(metricMisdirected, "")
@@ -80,6 +82,13 @@
 	}
 }
 
+// isFull reports whether an upstream that refused a request says that its slots are
+// taken. One that refuses with free slots fails for another reason, which fewer
+// requests would not mend. One that says nothing counts as full.
+func (l *lane) isFull(load *model.ReportedLoad) bool {
+	return load == nil || load.Waiting > 0 || load.Running >= load.Slots
+}
+
 // takeReply settles the attempt by its reply.
 func (s *State) takeReply(ctx *step.Context, a *attempt, e event.ForwardReply) {
 	r := a.request
