--- a/internal/effect/forward.go
+++ b/internal/effect/forward.go
@@ -79,7 +79,12 @@
 	Ready bool
 }
 
-func (ReplyForward) isEffect() {}
-func (SendForward) isEffect()  {}
-func (CallRegistry) isEffect() {}
-func (PublishReady) isEffect() {}
+// CloseEntrance ends the listening for callers and closes their idle connections;
+// requests that are open go on.
+type CloseEntrance struct{}
+
+func (CloseEntrance) isEffect() {}
+func (ReplyForward) isEffect()  {}
+func (SendForward) isEffect()   {}
+func (CallRegistry) isEffect()  {}
+func (PublishReady) isEffect()  {}
--- a/internal/reducer/edge/lifecycle.go
+++ b/internal/reducer/edge/lifecycle.go
@@ -18,8 +18,10 @@
 const (
 	// stopPeriod is the time between two looks at a stopping node's progress.
 	stopPeriod = 50 * time.Millisecond
-	// keptAnswers is how many times the entry TTL some callers keep an answer.
-	keptAnswers = 3
+	// entranceShare of the grace passes before the node stops listening. Until then
+	// each answer ends its connection; afterwards what is open has the rest of the
+	// grace to be answered.
+	entranceShare = 0.33
 	// quietBeforeExit is how long nothing may be open before the exit, so that the
 	// last answers have left.
 	quietBeforeExit = 200 * time.Millisecond
@@ -32,8 +34,10 @@
 	// stopped is when the stop was requested; zero before.
 	stopped model.Instant
 	// busy is when a request was last open.
-	busy   model.Instant
-	exited bool
+	busy model.Instant
+	// entranceClosed is true once the node has stopped listening for callers.
+	entranceClosed bool
+	exited         bool
 }
 
 // stepStart begins the node's life as not ready.
@@ -74,16 +78,20 @@
 	ctx.After(stopPeriod, timer.Lifecycle, 0)
 }
 
-// handleLifecycleTimer exits once callers' kept entry answers have run out and
-// nothing has been open for a while, and at the end of the grace.
+// handleLifecycleTimer closes the entrance after a while, and exits when nothing has
+// been open since, or at the end of the grace.
 func (s *State) handleLifecycleTimer(ctx *step.Context) {
 	elapsed := ctx.Now.Sub(s.lifecycle.stopped)
 	if s.relay.InFlight() > 0 {
 		s.lifecycle.busy = ctx.Now
 	}
-	kept := min(keptAnswers*s.settings.EntryTTL+quietBeforeExit, s.settings.StopGrace-2*exitMargin)
-	quiet := ctx.Now.Sub(s.lifecycle.busy) >= quietBeforeExit
-	if elapsed >= kept && quiet || elapsed >= s.settings.StopGrace-exitMargin {
+	if !s.lifecycle.entranceClosed && elapsed >= time.Duration(entranceShare*float64(s.settings.StopGrace)) {
+		s.lifecycle.entranceClosed = true
+		s.lifecycle.busy = ctx.Now
+		ctx.Emit(effect.CloseEntrance{})
+	}
+	quiet := s.lifecycle.entranceClosed && ctx.Now.Sub(s.lifecycle.busy) >= quietBeforeExit
+	if quiet || elapsed >= s.settings.StopGrace-exitMargin {
 		s.exit(ctx)
 		return
 	}
--- a/internal/reducer/relay/lane.go
+++ b/internal/reducer/relay/lane.go
@@ -249,7 +249,7 @@
 	coldHandicap = 1.5
 	// remoteHandicap is that of another failure domain: bytes between domains are
 	// paid for, and a near upstream that is a little slower is as good.
-	remoteHandicap = 2
+	remoteHandicap = 3
 	// failingWeight turns the share of failed outcomes into a handicap: a failed
 	// attempt costs the time of a hedge or retry.
 	failingWeight = 20
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -95,7 +95,7 @@
 
 // noRoutesRetry is what a node that does not know the routes yet asks callers to
 // wait: a reading of the registry takes a few milliseconds.
-const noRoutesRetry = 200 * time.Millisecond
+const noRoutesRetry = 50 * time.Millisecond
 
 // quarantineRetry is asked of callers whose content crashes upstreams.
 const quarantineRetry = 10 * time.Second
--- a/internal/runtime/edge.go
+++ b/internal/runtime/edge.go
@@ -22,9 +22,11 @@
 	Settings edge.Settings
 	Registry platform.Registry
 	Codec    upstream.Codec
-	Metrics  prometheus.Registerer
-	Log      *logrus.Logger
-	Seed     uint64
+	// CloseEntrance ends the listening for callers. It must not block.
+	CloseEntrance func()
+	Metrics       prometheus.Registerer
+	Log           *logrus.Logger
+	Seed          uint64
 }
 
 // Edge is one running node on a platform with a registry.
@@ -110,6 +112,8 @@
 		n.pool.Forward(e)
 	case effect.CallRegistry:
 		n.callRegistry(e)
+	case effect.CloseEntrance:
+		n.options.CloseEntrance()
 	case effect.PublishReady:
 		n.ready.Store(e.Ready)
 	case effect.Log:
