One reader a failure domain shares what it reads of the registry

The reader of a domain passes beliefs with their ages on over gRPC; a follower whose beliefs get too old reads by itself.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -323,6 +323,37 @@
 	Fingerprint model.Fingerprint
 }
 
+// Follow asks a node to share what it learns from the registry. It holds for a few
+// seconds and names what the sender has already.
+type Follow struct {
+	// Address is where the sender takes messages.
+	Address      string
+	Routes       model.Revision
+	UpstreamsSum uint64
+	MembersSum   uint64
+}
+
+// Beliefs is what a node knows from the registry, or what has changed of it. An age
+// is how long ago the part was known to be the newest, in nanoseconds; negative if
+// the sender knows nothing of it.
+type Beliefs struct {
+	RoutesVersion model.Revision
+	RoutesAge     int64
+	// Routes is nil for a receiver that has the version.
+	Routes       *model.RouteTable
+	UpstreamsSum uint64
+	UpstreamsAge int64
+	// Upstreams is nil for a receiver that has the list of that sum, and so are
+	// Members.
+	Upstreams  []model.Registration
+	MembersSum uint64
+	MembersAge int64
+	Members    []model.Member
+	Suspicions []Suspicion
+}
+
+func (Follow) isMessage()          {}
+func (Beliefs) isMessage()         {}
 func (Dispatch) isMessage()        {}
 func (Cancel) isMessage()          {}
 func (DispatchResult) isMessage()  {}
--- /dev/null
+++ b/internal/peer/beliefs.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/peer/peerpb"
+)
+
+// encodeBeliefs returns beliefs as they go on the wire.
+func encodeBeliefs(m message.Beliefs) (*peerpb.Beliefs, error) {
+	out := &peerpb.Beliefs{
+		RoutesVersion:     uint64(m.RoutesVersion),
+		RoutesAgeNanos:    m.RoutesAge,
+		UpstreamsSum:      m.UpstreamsSum,
+		UpstreamsAgeNanos: m.UpstreamsAge,
+		MembersSum:        m.MembersSum,
+		MembersAgeNanos:   m.MembersAge,
+	}
+	for _, suspicion := range m.Suspicions {
+		out.Suspicions = append(out.Suspicions, encodeSuspicion(suspicion))
+	}
+	for _, part := range []struct {
+		present bool
+		value   any
+		into    *[]byte
+	}{
+		{m.Routes != nil, m.Routes, &out.Routes},
+		{m.Upstreams != nil, m.Upstreams, &out.Upstreams},
+		{m.Members != nil, m.Members, &out.Members},
+	} {
+		if !part.present {
+			continue
+		}
+		encoded, err := json.Marshal(part.value)
+		if err != nil {
+			return nil, fmt.Errorf("encode beliefs: %w", err)
+		}
+		*part.into = encoded
+	}
+	return out, nil
+}
+
+// decodeBeliefs returns beliefs from the wire.
+func decodeBeliefs(m *peerpb.Beliefs) (message.Message, error) {
+	out := message.Beliefs{
+		RoutesVersion: model.Revision(m.GetRoutesVersion()),
+		RoutesAge:     m.GetRoutesAgeNanos(),
+		UpstreamsSum:  m.GetUpstreamsSum(),
+		UpstreamsAge:  m.GetUpstreamsAgeNanos(),
+		MembersSum:    m.GetMembersSum(),
+		MembersAge:    m.GetMembersAgeNanos(),
+	}
+	for _, suspicion := range m.GetSuspicions() {
+		out.Suspicions = append(out.Suspicions, decodeSuspicion(suspicion))
+	}
+	for _, part := range []struct {
+		encoded []byte
+		into    any
+	}{
+		{m.GetRoutes(), &out.Routes},
+		{m.GetUpstreams(), &out.Upstreams},
+		{m.GetMembers(), &out.Members},
+	} {
+		if len(part.encoded) == 0 {
+			continue
+		}
+		if err := json.Unmarshal(part.encoded, part.into); err != nil {
+			return nil, fmt.Errorf("decode beliefs: %w", err)
+		}
+	}
+	return out, nil
+}
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -55,6 +55,15 @@
 		return message.LogPull{After: model.Revision(m.LogPull.GetAfter())}, nil
 	case *peerpb.Message_LogEntries:
 		return decodeEntries(m.LogEntries), nil
+	case *peerpb.Message_Follow:
+		return message.Follow{
+			Address:      m.Follow.GetAddress(),
+			Routes:       model.Revision(m.Follow.GetRoutes()),
+			UpstreamsSum: m.Follow.GetUpstreamsSum(),
+			MembersSum:   m.Follow.GetMembersSum(),
+		}, nil
+	case *peerpb.Message_Beliefs:
+		return decodeBeliefs(m.Beliefs)
 	case *peerpb.Message_Suspicion:
 		return decodeSuspicion(m.Suspicion), nil
 	case *peerpb.Message_Pardon:
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -56,6 +56,16 @@
 		out.Body = &peerpb.Message_LogPull{LogPull: &peerpb.LogPull{After: uint64(m.After)}}
 	case message.LogEntries:
 		out.Body = &peerpb.Message_LogEntries{LogEntries: encodeEntries(m)}
+	case message.Follow:
+		out.Body = &peerpb.Message_Follow{Follow: &peerpb.Follow{
+			Address: m.Address, Routes: uint64(m.Routes), UpstreamsSum: m.UpstreamsSum, MembersSum: m.MembersSum,
+		}}
+	case message.Beliefs:
+		beliefs, err := encodeBeliefs(m)
+		if err != nil {
+			return nil, err
+		}
+		out.Body = &peerpb.Message_Beliefs{Beliefs: beliefs}
 	case message.Suspicion:
 		out.Body = &peerpb.Message_Suspicion{Suspicion: encodeSuspicion(m)}
 	case message.Pardon:
--- a/internal/reducer/config/compaction.go
+++ b/internal/reducer/config/compaction.go
@@ -7,6 +7,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/rendezvous"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -84,7 +85,7 @@
 			hosts = append(hosts, member.Host)
 		}
 	}
-	first := topHosts(hosts, 1, "config-compaction")
+	first := rendezvous.Top(hosts, 1, "config-compaction")
 	return len(first) == 1 && first[0] == ctx.Self.Host
 }
 
--- a/internal/reducer/config/follower.go
+++ b/internal/reducer/config/follower.go
@@ -1,15 +1,13 @@
 package config
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/rendezvous"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -125,14 +123,5 @@
 			domain = append(domain, member.Host)
 		}
 	}
-	return slices.Contains(topHosts(domain, watchersPerDomain, "config-watch"), ctx.Self.Host)
-}
-
-// topHosts returns the hosts with the highest rendezvous weights for a key.
-func topHosts(hosts []model.HostID, count int, key string) []model.HostID {
-	weight := func(host model.HostID) uint64 { return xxhash.Sum64String(key + "/" + string(host)) }
-	sorted := slices.SortedFunc(slices.Values(hosts), func(a, b model.HostID) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
-	})
-	return sorted[:min(count, len(sorted))]
+	return slices.Contains(rendezvous.Top(domain, watchersPerDomain, "config-watch"), ctx.Self.Host)
 }
--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -10,6 +10,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/registry"
@@ -107,6 +108,8 @@
 		s.relay.HandleClosed(ctx, e)
 	case event.RegistryResult:
 		s.stepRegistry(ctx, s.registry.HandleResult(ctx, e))
+	case event.PeerMessage:
+		s.stepMessage(ctx, e)
 	case event.Entry:
 		s.stepEntry(ctx, e)
 	case event.Reconfigured:
@@ -138,6 +141,16 @@
 	}
 }
 
+// stepMessage takes in what another node sends.
+func (s *State) stepMessage(ctx *step.Context, e event.PeerMessage) {
+	switch m := e.Message.(type) {
+	case message.Follow:
+		s.registry.HandleFollow(ctx, e.From, m)
+	case message.Beliefs:
+		s.stepRegistry(ctx, s.registry.HandleBeliefs(ctx, m))
+	}
+}
+
 // stepRegistry lets the parts follow what the registry has told.
 func (s *State) stepRegistry(ctx *step.Context, changes registry.Changes) {
 	if changes.Routes {
--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// weightOfSample is the share of the newest sample in the mean latency.
+	// weightOfSample is the least share of the newest sample in the mean latency.
 	weightOfSample = 0.2
+	// sampleTime is the time constant with which the samples before lose their weight
+	// when samples are rare.
+	sampleTime = 1 * time.Second
 	// forgetTime is the time constant with which a high latency that is no
 	// longer observed falls towards that of the fastest replica, so that a
 	// recovered upstream is tried again.
@@ -89,11 +92,18 @@
 	if s.latency == 0 {
 		s.latency = d
 	} else {
-		s.latency += time.Duration(weightOfSample * float64(d-s.latency))
+		s.latency += time.Duration(sampleWeight(now.Sub(s.observed)) * float64(d-s.latency))
 	}
 	s.observed = now
 }
 
+// sampleWeight returns the share of a sample in the mean, by the time since the one
+// before. It answers the pattern "many nodes use an upstream, each of them seldom":
+// with a fixed weight a node would take seconds to see that the upstream is slow.
+func sampleWeight(since time.Duration) float64 {
+	return max(weightOfSample, 1-math.Exp(-float64(since)/float64(sampleTime)))
+}
+
 // ObserveAtLeast takes in that an attempt has taken at least d so far.
 func (t *Table) ObserveAtLeast(id model.UpstreamID, now model.Instant, d time.Duration) {
 	s := t.of(id)
--- a/internal/reducer/registry/members.go
+++ b/internal/reducer/registry/members.go
@@ -1,9 +1,6 @@
 package registry
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
@@ -18,6 +15,8 @@
 type members struct {
 	known map[model.HostID]model.Member
 	list  []model.Member
+	// sum identifies the list.
+	sum uint64
 }
 
 func newMembers() members { return members{known: make(map[model.HostID]model.Member)} }
@@ -48,11 +47,7 @@
 	if l.verb == effect.WatchMembers && len(e.Members) == 0 && len(e.Gone) == 0 {
 		return Changes{Suspicions: e.Suspicions}
 	}
-	s.members.list = s.members.list[:0:0]
-	for _, member := range s.members.known {
-		s.members.list = append(s.members.list, member)
-	}
-	slices.SortFunc(s.members.list, func(a, b model.Member) int { return cmp.Compare(a.Host, b.Host) })
+	s.members.sort()
 	return Changes{Members: true, Suspicions: e.Suspicions}
 }
 
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -17,6 +17,9 @@
 
 const component = "registry"
 
+// metricCalls counts the calls by task.
+const metricCalls effect.Metric = "registry_calls_total"
+
 // Settings are the times of the registry calls.
 type Settings struct {
 	// PollInterval is the time between two readings of the upstreams. It bounds
@@ -64,6 +67,10 @@
 	// retryInterval is the time between calls while the store fails: refused
 	// calls are paid for.
 	retryInterval = 300 * time.Millisecond
+	// memberPause and routePause gather the changes of a moment into one call: when
+	// all nodes start together, each announcement would wake every watch.
+	memberPause = 500 * time.Millisecond
+	routePause  = 50 * time.Millisecond
 	// renewalsPerLease is how often a lease is renewed in its time.
 	renewalsPerLease = 3
 	// outageGap is how many poll intervals without a good reading count as an
@@ -91,11 +98,13 @@
 	taskMembers
 	taskLease
 	taskReport
+	// taskFollow asks another node to share what it reads.
+	taskFollow
 	tasks
 )
 
 // names name the tasks in log lines.
-var names = [tasks]string{"routes", "upstreams", "members", "lease", "suspicions"}
+var names = [tasks]string{"routes", "upstreams", "members", "lease", "suspicions", "sharing"}
 
 // loop is the state of one task's calls.
 type loop struct {
@@ -119,13 +128,12 @@
 	next     model.OperationID
 	loops    [tasks]loop
 
-	routes *model.RouteTable
-	// routesAt is when the routes were last known to be the newest.
-	routesAt  model.Instant
+	routes    *model.RouteTable
 	upstreams upstreams
 	members   members
 	lease     lease
 	reports   []message.Suspicion
+	sharing   sharing
 }
 
 // Changes tells which beliefs an event has changed.
@@ -139,11 +147,17 @@
 
 // New returns a state without beliefs.
 func New(settings Settings) *State {
-	return &State{settings: settings, upstreams: newUpstreams(), members: newMembers()}
+	return &State{
+		settings:  settings,
+		upstreams: newUpstreams(),
+		members:   newMembers(),
+		sharing:   sharing{followers: make(map[model.HostID]*follower)},
+	}
 }
 
 // Start begins to read.
 func (s *State) Start(ctx *step.Context) {
+	s.plan(ctx, taskFollow, firstFollow)
 	for _, t := range []task{taskRoutes, taskUpstreams, taskMembers} {
 		s.call(ctx, t)
 	}
@@ -156,7 +170,7 @@
 func (s *State) Known() bool { return s.routes != nil && s.loops[taskUpstreams].good != 0 }
 
 // RoutesAge returns how long ago the routes were known to be the newest.
-func (s *State) RoutesAge(now model.Instant) time.Duration { return now.Sub(s.routesAt) }
+func (s *State) RoutesAge(now model.Instant) time.Duration { return now.Sub(s.loops[taskRoutes].good) }
 
 // call starts the next call of a task.
 func (s *State) call(ctx *step.Context, t task) {
@@ -164,6 +178,10 @@
 	if l.operation != 0 {
 		return
 	}
+	if fed := s.sharing.fedUntil[t]; ctx.Now < fed {
+		s.plan(ctx, t, fed.Sub(ctx.Now))
+		return
+	}
 	e, due := s.nextCall(t)
 	if !due {
 		return
@@ -177,6 +195,7 @@
 	if e.Wait > 0 {
 		e.Timeout = e.Wait + WatchMargin
 	}
+	ctx.Count(metricCalls, names[t])
 	ctx.Emit(e)
 }
 
@@ -208,10 +227,16 @@
 	if id >= uint64(tasks) {
 		return
 	}
-	if l := &s.loops[id]; l.due != 0 && ctx.Now >= l.due {
-		l.due = 0
-		s.call(ctx, task(id))
+	l := &s.loops[id]
+	if l.due == 0 || ctx.Now < l.due {
+		return
+	}
+	l.due = 0
+	if task(id) == taskFollow {
+		s.stepFollow(ctx)
+		return
 	}
+	s.call(ctx, task(id))
 }
 
 // plan sets the time of a task's next call.
@@ -245,6 +270,10 @@
 	changes := s.take(ctx, t, e)
 	l.good = ctx.Now
 	s.plan(ctx, t, s.pause(t))
+	if t == taskRoutes || t == taskUpstreams || t == taskMembers {
+		s.sharing.suspicions = changes.Suspicions
+		s.share(ctx)
+	}
 	return changes
 }
 
@@ -255,6 +284,10 @@
 		return s.settings.PollInterval
 	case taskLease:
 		return s.settings.LeaseTime / renewalsPerLease
+	case taskMembers:
+		return memberPause
+	case taskRoutes:
+		return routePause
 	default:
 		return 0
 	}
@@ -277,16 +310,20 @@
 	return Changes{}
 }
 
-// takeRoutes adopts newer routes. An older version than the one in force is a
-// belated reply and never replaces it.
-func (s *State) takeRoutes(ctx *step.Context, e event.RegistryResult) Changes {
+// takeRoutes adopts newer routes.
+func (s *State) takeRoutes(_ *step.Context, e event.RegistryResult) Changes {
 	s.loops[taskRoutes].after = e.Revision
-	s.routesAt = ctx.Now
-	if e.Routes == nil || s.routes != nil && e.Routes.Version <= s.routes.Version {
-		return Changes{}
+	return Changes{Routes: s.adopt(e.Routes)}
+}
+
+// adopt replaces the routes by newer ones. An older version than the one in force
+// is belated news and never replaces it.
+func (s *State) adopt(routes *model.RouteTable) bool {
+	if routes == nil || s.routes != nil && routes.Version <= s.routes.Version {
+		return false
 	}
-	s.routes = e.Routes
-	return Changes{Routes: true}
+	s.routes = routes
+	return true
 }
 
 // fail plans another call after a failure. A watch whose place in the store's
--- /dev/null
+++ b/internal/reducer/registry/share.go
@@ -0,0 +1,308 @@
+package registry
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/rendezvous"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// Sharing of beliefs. In each failure domain one node, the reader, reads the
+// registry, and the others follow it: the calls to the store grow with the domains
+// and not with the nodes. A follower whose beliefs get too old, for whatever reason,
+// reads by itself, so that no promise rests on the reader.
+const (
+	// followInterval is the time between two messages of a follower, and
+	// followTime how long one of them holds.
+	followInterval = 1 * time.Second
+	followTime     = 3 * time.Second
+	// firstFollow is when a node that has started looks for its reader: the first
+	// readings are done by then.
+	firstFollow = 300 * time.Millisecond
+	// maxFollowers bounds the followers of one node.
+	maxFollowers = 1024
+	// readerKey is the purpose in the choice of a domain's reader.
+	readerKey = "registry-reader"
+)
+
+// follower is a node that asked to be told.
+type follower struct {
+	address string
+	// until is when its question lapses.
+	until model.Instant
+	// has is what it is known to have.
+	has message.Follow
+}
+
+// sharing is what a node tells and hears of others' beliefs.
+type sharing struct {
+	followers map[model.HostID]*follower
+	// fedUntil is until when another node's word on a task is young enough.
+	fedUntil [tasks]model.Instant
+	// reader is the node that this one follows, empty if none.
+	reader model.HostID
+	// suspicions are the news of the step that are passed on.
+	suspicions []message.Suspicion
+}
+
+// limitOf returns the age at which a belief that another node shares is too old.
+func (s *State) limitOf(t task) time.Duration {
+	switch t {
+	case taskRoutes:
+		return s.settings.RouteWait + WatchMargin
+	case taskUpstreams:
+		return 2 * s.settings.PollInterval
+	case taskMembers:
+		return 2 * (s.settings.MemberWait + WatchMargin)
+	default:
+		return 0
+	}
+}
+
+// stepFollow asks the domain's reader to share.
+func (s *State) stepFollow(ctx *step.Context) {
+	s.plan(ctx, taskFollow, followInterval)
+	if s.loops[taskMembers].good == 0 || s.loops[taskUpstreams].good == 0 {
+		return
+	}
+	if s.lease.member.Host == "" {
+		// Before the operators' first configuration the nodes wait for long; they find
+		// their reader meanwhile.
+		s.Announce(ctx, ctx.Self)
+	}
+	reader := s.readerOf(ctx.Self.FailureDomain)
+	if reader.Host != s.sharing.reader {
+		s.sharing.reader = reader.Host
+		ctx.Log(effect.Info, component, "reader of the domain", effect.Field{Name: "host", Value: string(reader.Host)})
+	}
+	if reader.Host != "" && reader.Host != ctx.Self.Host && reader.PeerAddress != "" {
+		s.askToFollow(ctx, reader)
+	}
+}
+
+// readerOf returns the member that reads for a failure domain; views of it may
+// differ for seconds.
+func (s *State) readerOf(domain model.FailureDomain) model.Member {
+	var hosts []model.HostID
+	for _, member := range s.members.list {
+		if member.FailureDomain == domain && member.State != model.Leaving {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	top := rendezvous.Top(hosts, 1, readerKey)
+	if len(top) == 0 {
+		return model.Member{}
+	}
+	return s.members.known[top[0]]
+}
+
+// askToFollow sends what the node has, so that it is told the rest.
+func (s *State) askToFollow(ctx *step.Context, reader model.Member) {
+	m := message.Follow{Address: ctx.Self.PeerAddress, UpstreamsSum: s.upstreams.sum, MembersSum: s.members.sum}
+	if s.routes != nil {
+		m.Routes = s.routes.Version
+	}
+	ctx.Emit(effect.SendPeer{To: reader.Host, Address: reader.PeerAddress, Message: m})
+}
+
+// HandleFollow takes in a node's question and tells it what it lacks.
+func (s *State) HandleFollow(ctx *step.Context, from model.HostID, m message.Follow) {
+	f := s.sharing.followers[from]
+	if f == nil {
+		if len(s.sharing.followers) >= maxFollowers {
+			return
+		}
+		f = &follower{}
+		s.sharing.followers[from] = f
+	}
+	f.address = m.Address
+	f.until = ctx.Now.Add(followTime)
+	f.has = m
+	s.tell(ctx, from, f)
+}
+
+// share tells all followers what has been learned in this step.
+func (s *State) share(ctx *step.Context) {
+	hosts := make([]model.HostID, 0, len(s.sharing.followers))
+	for host, f := range s.sharing.followers {
+		if ctx.Now >= f.until {
+			delete(s.sharing.followers, host)
+			continue
+		}
+		hosts = append(hosts, host)
+	}
+	slices.Sort(hosts)
+	for _, host := range hosts {
+		s.tell(ctx, host, s.sharing.followers[host])
+	}
+	s.sharing.suspicions = nil
+}
+
+// tell sends the ages of the beliefs and what the follower lacks.
+func (s *State) tell(ctx *step.Context, host model.HostID, f *follower) {
+	m := message.Beliefs{
+		RoutesAge:    s.ageOf(ctx, taskRoutes),
+		UpstreamsAge: s.ageOf(ctx, taskUpstreams),
+		UpstreamsSum: s.upstreams.sum,
+		MembersAge:   s.ageOf(ctx, taskMembers),
+		MembersSum:   s.members.sum,
+		Suspicions:   s.sharing.suspicions,
+	}
+	if s.routes != nil {
+		m.RoutesVersion = s.routes.Version
+		if m.RoutesVersion > f.has.Routes {
+			m.Routes = s.routes
+		}
+	}
+	if m.UpstreamsSum != f.has.UpstreamsSum {
+		m.Upstreams = s.upstreams.list
+	}
+	if m.MembersSum != f.has.MembersSum {
+		m.Members = s.members.list
+	}
+	f.has = message.Follow{Routes: max(f.has.Routes, m.RoutesVersion), UpstreamsSum: m.UpstreamsSum, MembersSum: m.MembersSum}
+	ctx.Emit(effect.SendPeer{To: host, Address: f.address, Message: m})
+}
+
+// ageOf returns the age of a task's belief for a message; negative if there is
+// none.
+func (s *State) ageOf(ctx *step.Context, t task) int64 {
+	if s.loops[t].good == 0 {
+		return -1
+	}
+	return int64(ctx.Now.Sub(s.loops[t].good))
+}
+
+// HandleBeliefs takes in what another node knows. Parts that are older than the
+// node's own are ignored, and routes never go back.
+func (s *State) HandleBeliefs(ctx *step.Context, m message.Beliefs) Changes {
+	changes := Changes{Suspicions: m.Suspicions}
+	if s.isNews(ctx, taskRoutes, m.RoutesAge, s.routes != nil && m.RoutesVersion >= s.routes.Version || m.Routes != nil) {
+		changes.Routes = s.adopt(m.Routes)
+	}
+	if s.isNews(ctx, taskUpstreams, m.UpstreamsAge, m.Upstreams != nil || m.UpstreamsSum == s.upstreams.sum) && m.Upstreams != nil {
+		s.upstreams.set(m.Upstreams)
+		changes.Upstreams = true
+	}
+	if s.isNews(ctx, taskMembers, m.MembersAge, m.Members != nil || m.MembersSum == s.members.sum) && m.Members != nil {
+		s.members.set(m.Members)
+		s.noteOwnEntry(ctx)
+		changes.Members = true
+	}
+	return changes
+}
+
+// isNews reports whether a shared belief is younger than the node's own, and if so
+// lets it stand in for the node's own calls until it is too old. A part that the
+// node can't use, because it lacks what the sender left out, is none.
+func (s *State) isNews(ctx *step.Context, t task, age int64, usable bool) bool {
+	if age < 0 || !usable {
+		return false
+	}
+	known := ctx.Now.Add(-time.Duration(age))
+	l := &s.loops[t]
+	if l.good != 0 && known <= l.good {
+		return false
+	}
+	l.good = known
+	if limit := known.Add(s.limitOf(t)); limit > ctx.Now {
+		s.sharing.fedUntil[t] = limit
+	}
+	return true
+}
+
+// noteOwnEntry announces the node again when the reader does not see it.
+func (s *State) noteOwnEntry(ctx *step.Context) {
+	if s.lease.member.Host == "" || s.lease.ending || s.lease.id == 0 {
+		return
+	}
+	if _, there := s.members.known[s.lease.member.Host]; !there {
+		s.lease.lost = true
+		s.call(ctx, taskLease)
+	}
+}
+
+// sumRegistrations identifies a list of registrations, but for the warm-up, which
+// changes all the time.
+func sumRegistrations(list []model.Registration) uint64 {
+	digest := xxhash.New()
+	for _, r := range list {
+		writeStrings(digest, string(r.Upstream.ID), r.Upstream.Address, string(r.Upstream.FailureDomain), r.Instance)
+		writeNumbers(digest, r.Life, uint64(r.Upstream.Slots), boolean(r.Upstream.Draining))
+	}
+	return digest.Sum64()
+}
+
+// sumMembers identifies a list of members.
+func sumMembers(list []model.Member) uint64 {
+	digest := xxhash.New()
+	for _, m := range list {
+		writeStrings(digest, string(m.Host), string(m.FailureDomain), m.CallerAddress, m.PeerAddress, string(m.State))
+		writeNumbers(digest, uint64(m.Incarnation))
+	}
+	return digest.Sum64()
+}
+
+// writeStrings adds strings to a digest, whose writes never fail.
+func writeStrings(digest *xxhash.Digest, texts ...string) {
+	for _, text := range texts {
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write([]byte{0})
+	}
+}
+
+// writeNumbers adds numbers to a digest.
+func writeNumbers(digest *xxhash.Digest, numbers ...uint64) {
+	var buffer [8]byte
+	for _, n := range numbers {
+		binary.LittleEndian.PutUint64(buffer[:], n)
+		_, _ = digest.Write(buffer[:])
+	}
+}
+
+// boolean returns 1 for true.
+func boolean(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// set replaces the registrations.
+func (u *upstreams) set(list []model.Registration) {
+	u.known = make(map[model.UpstreamID]model.Registration, len(list))
+	for _, registration := range list {
+		u.known[registration.Upstream.ID] = registration
+	}
+	u.list = slices.SortedFunc(slices.Values(list), func(a, b model.Registration) int {
+		return cmp.Compare(a.Upstream.ID, b.Upstream.ID)
+	})
+	u.sum = sumRegistrations(u.list)
+}
+
+// set replaces the members.
+func (m *members) set(list []model.Member) {
+	m.known = make(map[model.HostID]model.Member, len(list))
+	for _, member := range list {
+		m.known[member.Host] = member
+	}
+	m.sort()
+}
+
+// sort rebuilds the list from what is known.
+func (m *members) sort() {
+	m.list = make([]model.Member, 0, len(m.known))
+	for _, member := range m.known {
+		m.list = append(m.list, member)
+	}
+	slices.SortFunc(m.list, func(a, b model.Member) int { return cmp.Compare(a.Host, b.Host) })
+	m.sum = sumMembers(m.list)
+}
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -1,8 +1,6 @@
 package registry
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/event"
@@ -15,6 +13,8 @@
 	known map[model.UpstreamID]model.Registration
 	// list holds the known registrations in the order of their identifiers.
 	list []model.Registration
+	// sum identifies the list.
+	sum uint64
 	// trusted is when registrations that are missing count as gone again after an
 	// outage; zero means now.
 	trusted model.Instant
@@ -48,12 +48,11 @@
 	if sameRegistrations(read, u.known) {
 		return false
 	}
-	u.known = read
-	u.list = make([]model.Registration, 0, len(read))
+	list := make([]model.Registration, 0, len(read))
 	for _, registration := range read {
-		u.list = append(u.list, registration)
+		list = append(list, registration)
 	}
-	slices.SortFunc(u.list, func(a, b model.Registration) int { return cmp.Compare(a.Upstream.ID, b.Upstream.ID) })
+	u.set(list)
 	return true
 }
 
--- a/internal/runtime/edge.go
+++ b/internal/runtime/edge.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/metrics"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/peer"
 	"github.com/hawthorntack/hawthorntack/internal/platform"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/edge"
 	"github.com/hawthorntack/hawthorntack/internal/upstream"
@@ -22,6 +27,8 @@
 	Settings edge.Settings
 	Registry platform.Registry
 	Codec    upstream.Codec
+	// PeerListener takes the streams of other nodes.
+	PeerListener net.Listener
 	// CloseEntrance ends the listening for callers. It must not block.
 	CloseEntrance func()
 	Metrics       prometheus.Registerer
@@ -35,6 +42,8 @@
 	loop    *Loop
 	calls   *Calls
 	pool    *upstream.Pool
+	client  *peer.Client
+	server  *peer.Server
 	ctx     context.Context
 	cancel  context.CancelFunc
 	exited  chan effect.Exit
@@ -51,6 +60,8 @@
 	n.calls = NewCalls(n.loop.Submit, n.loop.Done())
 	n.pool = upstream.NewPool(nil, n.loop.Submit)
 	n.pool.SetCodec(options.Codec)
+	n.client = peer.NewClient(options.Settings.Self, insecure.NewCredentials(), n)
+	n.server = peer.NewServer(options.Settings.Self.Host, insecure.NewCredentials(), n)
 	return n
 }
 
@@ -69,6 +80,7 @@
 // Run runs the node until the reducer exits or the context ends. It returns the
 // number of requests that were cut.
 func (n *Edge) Run(ctx context.Context) (cut int) {
+	go n.servePeers()
 	go n.loop.Run(n.ctx)
 	select {
 	case e := <-n.exited:
@@ -78,10 +90,28 @@
 	}
 	n.cancel()
 	<-n.loop.Done()
+	n.server.Stop()
+	n.client.Close()
 	n.pool.CloseAll()
 	return cut
 }
 
+// servePeers takes the streams of other nodes. Without them the node reads by
+// itself, so a failure costs calls to the registry and nothing else.
+func (n *Edge) servePeers() {
+	if err := n.server.Serve(n.options.PeerListener); err != nil {
+		n.options.Log.WithField("component", "peer").WithError(err).Warn("no streams from other nodes")
+	}
+}
+
+// PeerMessage implements peer.Listener.
+func (n *Edge) PeerMessage(from model.HostID, incarnation model.Incarnation, m message.Message) {
+	n.loop.Submit(event.PeerMessage{From: from, Incarnation: incarnation, Message: m})
+}
+
+// PeerLost implements peer.Listener. Followers ask again by themselves.
+func (n *Edge) PeerLost(model.HostID) {}
+
 // awaitLast waits for the calls that must not be cut.
 func (n *Edge) awaitLast() {
 	finished := make(chan struct{})
@@ -110,6 +140,8 @@
 		n.pool.Close(e)
 	case effect.SendForward:
 		n.pool.Forward(e)
+	case effect.SendPeer:
+		n.client.Send(e.To, e.Address, e.Message)
 	case effect.CallRegistry:
 		n.callRegistry(e)
 	case effect.CloseEntrance:
