--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -22,8 +22,11 @@
 	latency  *prometheus.HistogramVec
 	coverage prometheus.Histogram
 	attempts *prometheus.CounterVec
-	counters map[effect.Metric]counter
-	step     prometheus.Histogram
+	// forwarded and sent are those of routed requests.
+	forwarded *prometheus.HistogramVec
+	sent      *prometheus.CounterVec
+	counters  map[effect.Metric]counter
+	step      prometheus.Histogram
 }
 
 // counter is a counter of a reducer's part.
@@ -53,6 +56,15 @@
 			Name: "hawthorntack_dispatch_attempts_total",
 			Help: "Sub-requests written to upstreams, by kind.",
 		}, []string{"kind"}),
+		forwarded: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "hawthorntack_relay_duration_seconds",
+			Help:    "Time from a routed request to its answer.",
+			Buckets: latencyBuckets,
+		}, []string{"route", "outcome"}),
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hawthorntack_relay_attempts_total",
+			Help: "Routed requests written to upstreams, by kind.",
+		}, []string{"kind"}),
 		counters: make(map[effect.Metric]counter),
 		step: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "hawthorntack_reducer_step_seconds",
@@ -60,7 +72,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10),
 		}),
 	}
-	registry.MustRegister(o.requests, o.latency, o.coverage, o.attempts, o.step)
+	registry.MustRegister(o.requests, o.latency, o.coverage, o.attempts, o.forwarded, o.sent, o.step)
 	for _, d := range Definitions() {
 		o.register(registry, d)
 	}
@@ -100,7 +112,11 @@
 			o.coverage.Observe(float64(e.Answer.Coverage.Percent()) / 100)
 		}
 	case effect.SendUpstream:
-		o.attempts.WithLabelValues(attemptKind(e)).Inc()
+		o.attempts.WithLabelValues(attemptKind(e.Hedge)).Inc()
+	case effect.ReplyForward:
+		o.forwarded.WithLabelValues(e.Route, string(e.Answer.Outcome)).Observe(e.Elapsed.Seconds())
+	case effect.SendForward:
+		o.sent.WithLabelValues(attemptKind(e.Hedge)).Inc()
 	case effect.Count:
 		o.count(e)
 	}
@@ -121,8 +137,8 @@
 }
 
 // attemptKind tells first attempts from hedges.
-func attemptKind(e effect.SendUpstream) string {
-	if e.Hedge {
+func attemptKind(hedge bool) string {
+	if hedge {
 		return "hedge"
 	}
 	return "first"
--- a/internal/reducer/relay/lane.go
+++ b/internal/reducer/relay/lane.go
@@ -32,6 +32,8 @@
 	// load is what the upstream last said of itself, at the time loadAt.
 	load   model.ReportedLoad
 	loadAt model.Instant
+	// crowded is when the upstream last said that more requests wait there than run.
+	crowded model.Instant
 	// failing is the moving share of failed outcomes.
 	failing   float64
 	failingAt model.Instant
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -173,7 +173,7 @@
 		s.offer(ctx, r, index, l, false)
 		return
 	}
-	if !p.service.extra.Take() {
+	if p.service.isCrowded(ctx.Now) || !p.service.extra.Take() {
 		ctx.Count(metricExtraDenied, "hedge")
 		return
 	}
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -62,10 +62,15 @@
 		if !a.abandoned {
 			a.request.route.latency.Observe(elapsed)
 		}
-		l.limit.Answered(ctx.Now)
+		if isCrowded(e.Load) && !a.request.isGathered() {
+			l.limit.Shed(ctx.Now, a.sent, elapsed)
+			l.crowded = ctx.Now
+		} else {
+			l.limit.Answered(ctx.Now)
+		}
 		l.noteOutcome(ctx.Now, false)
 	case event.ForwardNotRun:
-		if l.isFull(e.Load) {
+		if isFull(e.Load) {
 			l.limit.Shed(ctx.Now, a.sent, 0)
 		}
 		l.noteOutcome(ctx.Now, true)
@@ -85,10 +90,18 @@
 // isFull reports whether an upstream that refused a request says that its slots are
 // taken. One that refuses with free slots fails for another reason, which fewer
 // requests would not mend. One that says nothing counts as full.
-func (l *lane) isFull(load *model.ReportedLoad) bool {
+func isFull(load *model.ReportedLoad) bool {
 	return load == nil || load.Waiting > 0 || load.Running >= load.Slots
 }
 
+// isCrowded reports whether more requests wait at an upstream than run there. It
+// answers the pattern "all nodes send more than the slots": what waits at an
+// upstream can't be refused any more, so it should wait at the nodes. A part of a
+// gathered request cannot be refused by itself, and is left to the upstream's queue.
+func isCrowded(load *model.ReportedLoad) bool {
+	return load != nil && load.Slots > 0 && load.Waiting > load.Slots
+}
+
 // takeReply settles the attempt by its reply.
 func (s *State) takeReply(ctx *step.Context, a *attempt, e event.ForwardReply) {
 	r := a.request
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -30,6 +31,27 @@
 	extra budget.Bucket
 }
 
+// crowdedTime is how long an upstream counts as crowded: several times the work of
+// one request, so that hedges do not come and go with each reply.
+const crowdedTime = 500 * time.Millisecond
+
+// isCrowded reports whether most of the service's upstreams have more work than
+// slots. A hedge would take the slot of a request that has none yet. One crowded
+// upstream is merely slow, and hedges go round it.
+func (s *service) isCrowded(now model.Instant) bool {
+	crowded, usable := 0, 0
+	for _, l := range s.lanes {
+		if !l.usable(now) {
+			continue
+		}
+		usable++
+		if l.crowded != 0 && now.Sub(l.crowded) < crowdedTime {
+			crowded++
+		}
+	}
+	return 2*crowded > usable
+}
+
 // firstExtraShare is the part of its share of the slack that a node may use from
 // its start: the nodes' restarts would add up otherwise.
 const firstExtraShare = 0.5
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -165,13 +165,10 @@
 	if len(body) > maxReplyBytes {
 		return &ReplyTooLargeError{Limit: maxReplyBytes}
 	}
-	c.mu.Lock()
-	if reader.Buffered() > 0 || !c.flushed && len(e.encoded) > smallRequestBytes {
-		// More bytes than one reply, or a reply to half a request: what follows on
-		// the connection cannot be told apart.
+	spoiled := c.spoiled(reader, e)
+	if spoiled != nil {
 		response.Close = true
 	}
-	c.mu.Unlock()
 	result, err := e.handle(response, body)
 	if err != nil {
 		return err
@@ -180,12 +177,35 @@
 	c.pending = nil
 	c.mu.Unlock()
 	c.submit(result)
+	if spoiled != nil {
+		return spoiled
+	}
 	if response.Close {
 		return io.EOF
 	}
 	return nil
 }
 
+// EarlyReplyError reports a reply that came before the whole request was written.
+// The rest of the request would be taken for another one.
+type EarlyReplyError struct{}
+
+// Error implements error.
+func (EarlyReplyError) Error() string { return "the reply came before the end of the request" }
+
+// spoiled returns why a connection cannot be used after a whole reply, or nil.
+func (c *connection) spoiled(reader *bufio.Reader, e *exchange) error {
+	if reader.Buffered() > 0 {
+		return &UnexpectedReplyError{Got: "any", Want: "none"}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.flushed && len(e.encoded) > smallRequestBytes {
+		return EarlyReplyError{}
+	}
+	return nil
+}
+
 // end closes the connection and reports it once.
 func (c *connection) end(reason error, mismatch bool) {
 	c.mu.Lock()
