--- a/internal/reducer/relay/world_test.go
+++ b/internal/reducer/relay/world_test.go
@@ -155,9 +155,9 @@
 
 type noView struct{}
 
-func (noView) Members() []model.Member                  { return nil }
-func (noView) Member(model.HostID) (model.Member, bool) { return model.Member{}, false }
-func (w *world) at(d time.Duration, run func())         { w.atInstant(w.now.Add(d), run) }
+func (noView) Members() []model.Member                   { return nil }
+func (noView) Member(model.HostID) (model.Member, bool)  { return model.Member{}, false }
+func (w *world) at(d time.Duration, run func())          { w.atInstant(w.now.Add(d), run) }
 func (w *world) upstreamID(service string, i int) string { return service + "/u" + strconv.Itoa(i) }
 
 func (w *world) replica(service string, i int) *upstream {
