--- a/cmd/hawthorntack/edge.go
+++ b/cmd/hawthorntack/edge.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hawthorntack/hawthorntack/internal/daemon"
+	"github.com/hawthorntack/hawthorntack/internal/logging"
 	"github.com/hawthorntack/hawthorntack/platform"
 )
 
@@ -19,6 +20,7 @@
 
 	Settings    string `long:"settings" env:"HAWTHORNTACK_NODE_FILE" description:"Path of the platform's settings file"`
 	MetricsPort string `long:"metrics-port" env:"HAWTHORNTACK_METRICS_PORT" description:"Port for metrics on the callers' address; none are served without it"`
+	LogLines    int    `long:"log-lines" env:"HAWTHORNTACK_LOG_LINES" default:"500" description:"Most lines of good news a second; more are left out and counted"`
 	Seed        uint64 `long:"seed" env:"HAWTHORNTACK_SEED" description:"Seed of the node's random decisions; 0 takes one from the clock"`
 
 	logSettings
@@ -34,7 +36,9 @@
 
 // Execute implements flags.Commander.
 func (c *edgeCommand) Execute([]string) error {
-	log, err := c.logger(c.std.out)
+	lines := logging.NewWriter(c.std.out, c.LogLines)
+	defer lines.Close()
+	log, err := c.logger(lines)
 	if err != nil {
 		return err
 	}
