--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -331,6 +331,8 @@
 	Routes       model.Revision
 	UpstreamsSum uint64
 	MembersSum   uint64
+	// Observations are what the sender saw of upstreams since its last message.
+	Observations []model.Observation
 }
 
 // Beliefs is what a node knows from the registry, or what has changed of it. An age
@@ -350,6 +352,8 @@
 	MembersAge int64
 	Members    []model.Member
 	Suspicions []Suspicion
+	// Observations are what the nodes of the failure domain saw of upstreams.
+	Observations []model.Observation
 }
 
 func (Follow) isMessage()          {}
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -144,3 +144,23 @@
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
 }
+
+// Observation sums up what nodes saw of one upstream in about a second.
+type Observation struct {
+	Upstream UpstreamID `json:"upstream"`
+	// Answered counts the successes, and Latency is the sum of their times.
+	Answered int           `json:"answered"`
+	Latency  time.Duration `json:"latency_nanos"`
+	// Failed counts the attempts that failed, were refused, or hung.
+	Failed int `json:"failed"`
+}
+
+// Add adds what another node saw.
+func (o *Observation) Add(other Observation) {
+	o.Answered += other.Answered
+	o.Latency += other.Latency
+	o.Failed += other.Failed
+}
+
+// Samples returns the number of attempts.
+func (o *Observation) Samples() int { return o.Answered + o.Failed }
--- a/internal/peer/beliefs.go
+++ b/internal/peer/beliefs.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -18,6 +19,7 @@
 		UpstreamsAgeNanos: m.UpstreamsAge,
 		MembersSum:        m.MembersSum,
 		MembersAgeNanos:   m.MembersAge,
+		Observations:      encodeObservations(m.Observations),
 	}
 	for _, suspicion := range m.Suspicions {
 		out.Suspicions = append(out.Suspicions, encodeSuspicion(suspicion))
@@ -52,6 +54,7 @@
 		UpstreamsAge:  m.GetUpstreamsAgeNanos(),
 		MembersSum:    m.GetMembersSum(),
 		MembersAge:    m.GetMembersAgeNanos(),
+		Observations:  decodeObservations(m.GetObservations()),
 	}
 	for _, suspicion := range m.GetSuspicions() {
 		out.Suspicions = append(out.Suspicions, decodeSuspicion(suspicion))
@@ -73,3 +76,28 @@
 	}
 	return out, nil
 }
+
+// encodeObservations returns observations as they go on the wire.
+func encodeObservations(list []model.Observation) []*peerpb.Observation {
+	out := make([]*peerpb.Observation, len(list))
+	for i, o := range list {
+		out[i] = &peerpb.Observation{
+			Upstream: string(o.Upstream), Answered: uint32(o.Answered), LatencyNanos: uint64(o.Latency), Failed: uint32(o.Failed),
+		}
+	}
+	return out
+}
+
+// decodeObservations returns observations from the wire.
+func decodeObservations(list []*peerpb.Observation) []model.Observation {
+	out := make([]model.Observation, len(list))
+	for i, o := range list {
+		out[i] = model.Observation{
+			Upstream: model.UpstreamID(o.GetUpstream()),
+			Answered: int(o.GetAnswered()),
+			Latency:  time.Duration(o.GetLatencyNanos()),
+			Failed:   int(o.GetFailed()),
+		}
+	}
+	return out
+}
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -61,6 +61,7 @@
 			Routes:       model.Revision(m.Follow.GetRoutes()),
 			UpstreamsSum: m.Follow.GetUpstreamsSum(),
 			MembersSum:   m.Follow.GetMembersSum(),
+			Observations: decodeObservations(m.Follow.GetObservations()),
 		}, nil
 	case *peerpb.Message_Beliefs:
 		return decodeBeliefs(m.Beliefs)
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -59,6 +59,7 @@
 	case message.Follow:
 		out.Body = &peerpb.Message_Follow{Follow: &peerpb.Follow{
 			Address: m.Address, Routes: uint64(m.Routes), UpstreamsSum: m.UpstreamsSum, MembersSum: m.MembersSum,
+			Observations: encodeObservations(m.Observations),
 		}}
 	case message.Beliefs:
 		beliefs, err := encodeBeliefs(m)
--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -59,6 +59,7 @@
 	}
 	s.self.State = model.Starting
 	s.relay = relay.New(settings.Relay, s.quarantine, s.registry)
+	s.registry.SetObserver(s.relay)
 	s.ctx = step.Context{Random: rand.New(s.source), View: noPeers{}, Timers: &s.timers, Config: &model.Config{}}
 	return s
 }
@@ -146,6 +147,7 @@
 	switch m := e.Message.(type) {
 	case message.Follow:
 		s.registry.HandleFollow(ctx, e.From, m)
+		s.relay.HandleObservations(ctx, s.registry.Observations())
 	case message.Beliefs:
 		s.stepRegistry(ctx, s.registry.HandleBeliefs(ctx, m))
 	}
@@ -162,6 +164,7 @@
 	if changes.Members {
 		s.relay.SetNodes(ctx, len(s.serving()))
 	}
+	s.relay.HandleObservations(ctx, changes.Observations)
 	for _, suspicion := range changes.Suspicions {
 		s.quarantine.HandleSuspicion(ctx, suspicion)
 	}
--- a/internal/reducer/query/replica/choose.go
+++ b/internal/reducer/query/replica/choose.go
@@ -76,6 +76,10 @@
 		stats = append(stats, t.of(r.ID))
 	}
 	fastest := fastest(replicas, stats)
+	if wish.Typical > 0 {
+		// Where only a slow upstream is known, the others are not as slow.
+		fastest = min(fastest, wish.Typical)
+	}
 	for i, r := range replicas {
 		if !r.Usable() || slices.Contains(wish.Tried, r.ID) {
 			continue
--- a/internal/reducer/query/replica/replica.go
+++ b/internal/reducer/query/replica/replica.go
@@ -54,6 +54,9 @@
 	Avoid model.FailureDomain
 	// FreeSlot demands a replica with a free slot.
 	FreeSlot bool
+	// Typical is the latency to expect of an upstream that none is known of; zero
+	// means that of the fastest one.
+	Typical time.Duration
 	// Tried are the upstreams that are out of the question.
 	Tried []model.UpstreamID
 }
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -143,6 +143,8 @@
 	Members   bool
 	// Suspicions are news of requests that crash upstreams.
 	Suspicions []message.Suspicion
+	// Observations are what the nodes of the failure domain saw of upstreams.
+	Observations []model.Observation
 }
 
 // New returns a state without beliefs.
--- a/internal/reducer/registry/registry_test.go
+++ b/internal/reducer/registry/registry_test.go
@@ -41,10 +41,15 @@
 			Host: model.HostID(host), FailureDomain: "a", PeerAddress: host, State: model.Serving, Incarnation: 1,
 		},
 	}
+	f.state.SetObserver(noObserver{})
 	f.step(func() { f.state.Start(&f.ctx) })
 	return f
 }
 
+type noObserver struct{}
+
+func (noObserver) TakeObservations() []model.Observation { return nil }
+
 // step runs a part and keeps its effects.
 func (f *fixture) step(run func()) {
 	f.ctx.Effects = nil
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -40,6 +40,14 @@
 	until model.Instant
 	// has is what it is known to have.
 	has message.Follow
+	// saw is what it last saw of upstreams.
+	saw []model.Observation
+}
+
+// Observer tells what this node saw of upstreams.
+type Observer interface {
+	// TakeObservations returns what was seen since the last call.
+	TakeObservations() []model.Observation
 }
 
 // sharing is what a node tells and hears of others' beliefs.
@@ -51,8 +59,14 @@
 	reader model.HostID
 	// suspicions are the news of the step that are passed on.
 	suspicions []message.Suspicion
+	observer   Observer
+	// saw is what this node last saw itself.
+	saw []model.Observation
 }
 
+// SetObserver names the part that watches the upstreams.
+func (s *State) SetObserver(observer Observer) { s.sharing.observer = observer }
+
 // limitOf returns the age at which a belief that another node shares is too old.
 func (s *State) limitOf(t task) time.Duration {
 	switch t {
@@ -70,6 +84,7 @@
 // stepFollow asks the domain's reader to share.
 func (s *State) stepFollow(ctx *step.Context) {
 	s.plan(ctx, taskFollow, followInterval)
+	s.sharing.saw = s.sharing.observer.TakeObservations()
 	if s.loops[taskMembers].good == 0 || s.loops[taskUpstreams].good == 0 {
 		return
 	}
@@ -110,6 +125,7 @@
 	if s.routes != nil {
 		m.Routes = s.routes.Version
 	}
+	m.Observations = s.sharing.saw
 	ctx.Emit(effect.SendPeer{To: reader.Host, Address: reader.PeerAddress, Message: m})
 }
 
@@ -126,9 +142,38 @@
 	f.address = m.Address
 	f.until = ctx.Now.Add(followTime)
 	f.has = m
+	f.saw = m.Observations
 	s.tell(ctx, from, f)
 }
 
+// Observations returns what the node and its followers saw of upstreams, each in its
+// last second, ordered by upstream; nothing if it has no followers, because what a
+// node saw by itself it knows better.
+func (s *State) Observations() []model.Observation {
+	if len(s.sharing.followers) == 0 {
+		return nil
+	}
+	sums := make(map[model.UpstreamID]model.Observation)
+	add := func(list []model.Observation) {
+		for _, seen := range list {
+			sum := sums[seen.Upstream]
+			sum.Upstream = seen.Upstream
+			sum.Add(seen)
+			sums[seen.Upstream] = sum
+		}
+	}
+	add(s.sharing.saw)
+	for _, f := range s.sharing.followers {
+		add(f.saw)
+	}
+	list := make([]model.Observation, 0, len(sums))
+	for _, sum := range sums {
+		list = append(list, sum)
+	}
+	slices.SortFunc(list, func(a, b model.Observation) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return list
+}
+
 // share tells all followers what has been learned in this step.
 func (s *State) share(ctx *step.Context) {
 	hosts := make([]model.HostID, 0, len(s.sharing.followers))
@@ -155,6 +200,7 @@
 		MembersAge:   s.ageOf(ctx, taskMembers),
 		MembersSum:   s.members.sum,
 		Suspicions:   s.sharing.suspicions,
+		Observations: s.Observations(),
 	}
 	if s.routes != nil {
 		m.RoutesVersion = s.routes.Version
@@ -184,7 +230,7 @@
 // HandleBeliefs takes in what another node knows. Parts that are older than the
 // node's own are ignored, and routes never go back.
 func (s *State) HandleBeliefs(ctx *step.Context, m message.Beliefs) Changes {
-	changes := Changes{Suspicions: m.Suspicions}
+	changes := Changes{Suspicions: m.Suspicions, Observations: m.Observations}
 	if s.isNews(ctx, taskRoutes, m.RoutesAge, s.routes != nil && m.RoutesVersion >= s.routes.Version || m.Routes != nil) {
 		changes.Routes = s.adopt(m.Routes)
 	}
--- a/internal/reducer/relay/lane.go
+++ b/internal/reducer/relay/lane.go
@@ -37,6 +37,10 @@
 	// failing is the moving share of failed outcomes.
 	failing   float64
 	failingAt model.Instant
+	// seen is what this node saw since it last told the others, and shared what the
+	// nodes of the failure domain saw together.
+	seen   model.Observation
+	shared shared
 	// warmUntil is when the upstream has warmed up.
 	warmUntil model.Instant
 	// misdirected is when another upstream answered at the address; zero if none
@@ -274,7 +278,12 @@
 	if l.replica.Domain != ctx.Self.FailureDomain {
 		h *= remoteHandicap
 	}
-	return h * (1 + failingWeight*l.failingShare(ctx.Now))
+	failing := l.failingShare(ctx.Now)
+	if l.shared.isFresh(ctx.Now) {
+		failing = max(failing, l.shared.failing())
+		h *= l.shared.ratio(s.replicas.Latency(l.record.Upstream.ID))
+	}
+	return h * (1 + failingWeight*failing)
 }
 
 // stalled reports whether an attempt has been at the upstream for long.
@@ -303,6 +312,7 @@
 	share := l.failingShare(now) * (1 - failingGain)
 	if failed {
 		share += failingGain
+		l.seen.Failed++
 	}
 	l.failing, l.failingAt = share, now
 }
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -50,6 +50,7 @@
 	}
 	wish.Now = ctx.Now
 	wish.Domain = ctx.Self.FailureDomain
+	wish.Typical, _ = r.route.latency.Quantile(medianQuantile)
 	best := s.replicas.Choose(replicas, wish, ctx.Random)
 	if best == nil {
 		return nil
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -69,6 +69,8 @@
 			l.limit.Answered(ctx.Now)
 		}
 		l.noteOutcome(ctx.Now, false)
+		l.seen.Answered++
+		l.seen.Latency += elapsed
 	case event.ForwardNotRun:
 		if isFull(e.Load) {
 			l.limit.Shed(ctx.Now, a.sent, 0)
--- a/internal/reducer/relay/world_test.go
+++ b/internal/reducer/relay/world_test.go
@@ -514,3 +514,25 @@
 
 // forget drops the answers so far, such as those of a warm-up.
 func (w *world) forget() { w.answers = nil }
+
+// shareObservations lets all nodes tell each other each second what they saw, as the
+// nodes of a failure domain do.
+func (w *world) shareObservations() {
+	sums := make(map[model.UpstreamID]model.Observation)
+	for _, n := range w.nodes {
+		for _, seen := range n.state.TakeObservations() {
+			sum := sums[seen.Upstream]
+			sum.Upstream = seen.Upstream
+			sum.Add(seen)
+			sums[seen.Upstream] = sum
+		}
+	}
+	list := make([]model.Observation, 0, len(sums))
+	for _, sum := range sums {
+		list = append(list, sum)
+	}
+	for _, n := range w.nodes {
+		n.step(func(ctx *step.Context) { n.state.HandleObservations(ctx, list) })
+	}
+	w.at(time.Second, w.shareObservations)
+}
