--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -301,7 +301,7 @@
 	case taskRoutes:
 		return s.takeRoutes(ctx, e)
 	case taskUpstreams:
-		return Changes{Upstreams: s.takeUpstreams(ctx, e)}
+		return Changes{Upstreams: s.takeReading(ctx, e.Upstreams, ctx.Now)}
 	case taskMembers:
 		return s.takeMembers(ctx, e)
 	case taskLease:
--- a/internal/reducer/registry/registry_test.go
+++ b/internal/reducer/registry/registry_test.go
@@ -372,3 +372,66 @@
 		t.Error("members have one sum")
 	}
 }
+
+// tell returns what a node tells a follower that has nothing.
+func (f *fixture) tell(t *testing.T) message.Beliefs {
+	t.Helper()
+	f.sent = nil
+	f.step(func() { f.state.HandleFollow(&f.ctx, "follower", message.Follow{Address: "follower"}) })
+	if len(f.sent) != 1 {
+		t.Fatalf("%d messages", len(f.sent))
+	}
+	return f.sent[0].Message.(message.Beliefs)
+}
+
+// TestKeptEntriesAreNotShared replays day fresh-44e3 of aranguiz-verso: a reader whose
+// path to the store was cut keeps what lapsed meanwhile, and its follower, which had
+// read that an upstream is gone, must not believe in it again.
+func TestKeptEntriesAreNotShared(t *testing.T) {
+	reader, follower := newFixture(t, "n1"), newFixture(t, "n2")
+	settleReadings(reader, 1, "u1", "u2")
+	settleReadings(follower, 1, "u1", "u2")
+	reader.pass(5 * time.Second)
+	for range 5 {
+		follower.pass(DefaultPollInterval)
+		follower.answer(effect.ReadUpstreams, event.RegistryResult{Upstreams: registered("u1", "u2")})
+	}
+	follower.pass(DefaultPollInterval)
+	follower.answer(effect.ReadUpstreams, event.RegistryResult{Upstreams: registered("u1")})
+	reader.pass(DefaultPollInterval + 100*time.Millisecond)
+	follower.pass(100 * time.Millisecond)
+	reader.answer(effect.ReadUpstreams, event.RegistryResult{Upstreams: registered("u1")})
+	if got := reader.names(); got != "u1 u2 " {
+		t.Errorf("the reader believes %s", got)
+	}
+	news := reader.tell(t)
+	follower.step(func() { follower.state.HandleBeliefs(&follower.ctx, news) })
+	if got := follower.names(); got != "u1 " {
+		t.Errorf("the follower believes %s", got)
+	}
+}
+
+// TestRestartedReader replays day trouble-3 of hcm-kyushu-grown: the reader has
+// started again during an outage in which entries lapsed, and its followers keep what
+// they knew until live upstreams have registered again.
+func TestRestartedReader(t *testing.T) {
+	follower := newFixture(t, "n2")
+	settleReadings(follower, 1, "u1", "u2", "u3")
+	follower.pass(6 * time.Second)
+	reader := newFixture(t, "n1")
+	reader.ctx.Now = follower.ctx.Now
+	settleReadings(reader, 1, "u1")
+	follower.step(func() { follower.state.HandleBeliefs(&follower.ctx, reader.tell(t)) })
+	if got := follower.names(); got != "u1 u2 u3 " {
+		t.Errorf("right after the outage the follower believes %s", got)
+	}
+	for range 4 {
+		reader.pass(DefaultPollInterval)
+		follower.pass(DefaultPollInterval)
+		reader.answer(effect.ReadUpstreams, event.RegistryResult{Upstreams: registered("u1", "u2")})
+		follower.step(func() { follower.state.HandleBeliefs(&follower.ctx, reader.tell(t)) })
+	}
+	if got := follower.names(); got != "u1 u2 " {
+		t.Errorf("four seconds after the outage the follower believes %s", got)
+	}
+}
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -209,7 +209,7 @@
 		}
 	}
 	if m.UpstreamsSum != f.has.UpstreamsSum {
-		m.Upstreams = s.upstreams.list
+		m.Upstreams = s.upstreams.read
 	}
 	if m.MembersSum != f.has.MembersSum {
 		m.Members = s.members.list
@@ -231,38 +231,52 @@
 // node's own are ignored, and routes never go back.
 func (s *State) HandleBeliefs(ctx *step.Context, m message.Beliefs) Changes {
 	changes := Changes{Suspicions: m.Suspicions, Observations: m.Observations}
-	if s.isNews(ctx, taskRoutes, m.RoutesAge, s.routes != nil && m.RoutesVersion >= s.routes.Version || m.Routes != nil) {
-		changes.Routes = s.adopt(m.Routes)
+	if m.Routes != nil || s.routes != nil && m.RoutesVersion == s.routes.Version {
+		if made, news := s.isNews(ctx, taskRoutes, m.RoutesAge); news {
+			changes.Routes = s.adopt(m.Routes)
+			s.feed(ctx, taskRoutes, made)
+		}
 	}
-	if s.isNews(ctx, taskUpstreams, m.UpstreamsAge, m.Upstreams != nil || m.UpstreamsSum == s.upstreams.sum) && m.Upstreams != nil {
-		s.upstreams.set(m.Upstreams)
-		changes.Upstreams = true
+	if read, usable := pick(m.Upstreams, m.UpstreamsSum, s.upstreams.read, s.upstreams.sum); usable {
+		if made, news := s.isNews(ctx, taskUpstreams, m.UpstreamsAge); news {
+			changes.Upstreams = s.takeReading(ctx, read, made)
+			s.feed(ctx, taskUpstreams, made)
+		}
 	}
-	if s.isNews(ctx, taskMembers, m.MembersAge, m.Members != nil || m.MembersSum == s.members.sum) && m.Members != nil {
-		s.members.set(m.Members)
-		s.noteOwnEntry(ctx)
-		changes.Members = true
+	if list, usable := pick(m.Members, m.MembersSum, s.members.list, s.members.sum); usable {
+		if made, news := s.isNews(ctx, taskMembers, m.MembersAge); news {
+			s.members.set(list)
+			s.noteOwnEntry(ctx)
+			changes.Members = m.Members != nil
+			s.feed(ctx, taskMembers, made)
+		}
 	}
 	return changes
 }
 
-// isNews reports whether a shared belief is younger than the node's own, and if so
-// lets it stand in for the node's own calls until it is too old. A part that the
-// node can't use, because it lacks what the sender left out, is none.
-func (s *State) isNews(ctx *step.Context, t task, age int64, usable bool) bool {
-	if age < 0 || !usable {
-		return false
-	}
-	known := ctx.Now.Add(-time.Duration(age))
-	l := &s.loops[t]
-	if l.good != 0 && known <= l.good {
-		return false
-	}
-	l.good = known
-	if limit := known.Add(s.limitOf(t)); limit > ctx.Now {
+// pick returns a list that another node sent, or the node's own if the other one left
+// it out as known. Neither is usable if the sums differ.
+func pick[T any](sent []T, sum uint64, own []T, ownSum uint64) ([]T, bool) {
+	if sent != nil {
+		return sent, true
+	}
+	return own, sum == ownSum
+}
+
+// isNews returns when a shared belief was made, and whether that is later than the
+// node's own.
+func (s *State) isNews(ctx *step.Context, t task, age int64) (made model.Instant, news bool) {
+	made = ctx.Now.Add(-time.Duration(age))
+	good := s.loops[t].good
+	return made, age >= 0 && (good == 0 || made > good)
+}
+
+// feed lets a shared belief stand in for the node's own calls until it is too old.
+func (s *State) feed(ctx *step.Context, t task, made model.Instant) {
+	s.loops[t].good = made
+	if limit := made.Add(s.limitOf(t)); limit > ctx.Now {
 		s.sharing.fedUntil[t] = limit
 	}
-	return true
 }
 
 // noteOwnEntry announces the node again when the reader does not see it.
@@ -322,18 +336,6 @@
 	return 0
 }
 
-// set replaces the registrations.
-func (u *upstreams) set(list []model.Registration) {
-	u.known = make(map[model.UpstreamID]model.Registration, len(list))
-	for _, registration := range list {
-		u.known[registration.Upstream.ID] = registration
-	}
-	u.list = slices.SortedFunc(slices.Values(list), func(a, b model.Registration) int {
-		return cmp.Compare(a.Upstream.ID, b.Upstream.ID)
-	})
-	u.sum = sumRegistrations(u.list)
-}
-
 // set replaces the members.
 func (m *members) set(list []model.Member) {
 	m.known = make(map[model.HostID]model.Member, len(list))
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -118,7 +118,7 @@
 	medianQuantile = 0.5
 	// hedgeQuantile sends a second attempt for about one part in ten, which leaves
 	// half of the shared budget of a fifth to failures.
-	hedgeQuantile = 0.9
+	hedgeQuantile = 0.95
 	stallQuantile = 0.95
 	// stallFactor tells an attempt that is overdue from one that is merely slow.
 	stallFactor = 1.5
