--- a/internal/reducer/relay/connection.go
+++ b/internal/reducer/relay/connection.go
@@ -137,15 +137,21 @@
 	ctx.Count(metricConnectFails, "")
 	if l.opening.Failures == 0 {
 		ctx.Log(effect.Warning, component, "upstream lost", append(upstreamFields(l), effect.Field{Name: "reason", Value: e.Reason})...)
+		l.noteOutcome(ctx.Now, true)
 	}
 	delay := l.opening.Fail(ctx)
-	l.noteOutcome(ctx.Now, true)
 	s.judgeCrash(ctx, l, true)
+	after(ctx, delay, l.number, laneTimer)
 	if l.openConnections() == 0 {
 		s.moveWaiting(ctx, l)
-		return
 	}
-	after(ctx, delay, l.number, laneTimer)
+}
+
+// probe connects again to an upstream that could not be reached.
+func (s *State) probe(ctx *step.Context, l *lane) {
+	if l.opening.Failures > 0 && l.openConnections() == 0 && !l.record.Upstream.Draining {
+		s.connect(ctx, l)
+	}
 }
 
 // lose settles the attempt of a connection that ended without a reply.
@@ -174,7 +180,7 @@
 func (s *State) requeue(ctx *step.Context, l *lane, a *attempt) {
 	a.request.parts[a.part].ran--
 	a.sent = 0
-	if !l.usable(ctx.Now) {
+	if !l.usable() {
 		s.settleUnsent(ctx, a, model.CodeUnavailable)
 		return
 	}
--- a/internal/reducer/relay/describe.go
+++ b/internal/reducer/relay/describe.go
@@ -71,7 +71,7 @@
 	return UpstreamDescription{
 		Upstream:       l.record.Upstream.ID,
 		Address:        l.record.Upstream.Address,
-		Usable:         l.usable(now),
+		Usable:         l.usable(),
 		Draining:       l.record.Upstream.Draining,
 		Misdirected:    l.misdirected != 0,
 		InFlight:       len(l.inFlight),
--- a/internal/reducer/relay/finish.go
+++ b/internal/reducer/relay/finish.go
@@ -172,7 +172,7 @@
 	shortest := time.Duration(-1)
 	for _, l := range found.lanes {
 		wait := s.expectedWait(ctx, r, l)
-		if !l.usable(ctx.Now) {
+		if !l.usable() {
 			wait = max(wait, l.opening.Until.Sub(ctx.Now))
 		}
 		if shortest < 0 || wait < shortest {
--- a/internal/reducer/relay/lane.go
+++ b/internal/reducer/relay/lane.go
@@ -148,12 +148,13 @@
 	}
 }
 
-// usable reports whether the lane may get new attempts.
-func (l *lane) usable(now model.Instant) bool {
+// usable reports whether the lane may get new attempts. One that could not connect
+// gets none until a connection of its own has told that the upstream is back.
+func (l *lane) usable() bool {
 	if l.gone || l.record.Upstream.Draining || l.misdirected != 0 {
 		return false
 	}
-	return l.opening.Failures == 0 || l.openConnections() > 0 || now >= l.opening.Until
+	return l.opening.Failures == 0 || l.openConnections() > 0
 }
 
 // openConnections counts the connections that carry or could carry a request.
@@ -231,7 +232,7 @@
 // refresh brings the lane's description for the choice of a replica up to date.
 func (s *State) refresh(ctx *step.Context, l *lane, stallAfter time.Duration) *snapshot.Replica {
 	now := ctx.Now
-	l.replica.Reachable = l.usable(now)
+	l.replica.Reachable = l.usable()
 	l.replica.Limit = max(1, l.limit.Current(now))
 	l.replica.Queued = l.waiting.Len()
 	l.replica.FreeSlots = l.free(now)
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -223,6 +223,7 @@
 		s.handleAttemptTimer(ctx, number)
 	case laneTimer:
 		if l := s.lanesByID[number]; l != nil {
+			s.probe(ctx, l)
 			s.pump(ctx, l)
 		}
 	}
--- a/internal/reducer/relay/relay_test.go
+++ b/internal/reducer/relay/relay_test.go
@@ -355,3 +355,34 @@
 		t.Errorf("effects %v", n.ctx.Effects)
 	}
 }
+
+// TestUnreachableUpstream checks that an upstream that cannot be reached gets no
+// attempts, which would wait there in vain, and is used again once it is back.
+func TestUnreachableUpstream(t *testing.T) {
+	w := newWorld(t, 23, usual, 1)
+	w.service("single", 2, 2, 5*time.Millisecond)
+	w.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(false, 1)}})
+	n := w.nodes[0]
+	w.load("/one/x", 300*time.Millisecond, 50, 5*time.Second)
+	w.play(time.Second)
+	w.replica("single", 0).down = true
+	for id, l := range n.connections {
+		if l.upstream.down {
+			n.closed(id, l, "reset")
+		}
+	}
+	w.play(300 * time.Millisecond)
+	w.forget()
+	w.play(2 * time.Second)
+	for _, c := range w.answers {
+		if c.answer.Outcome != model.Answered || c.elapsed > 30*time.Millisecond {
+			t.Errorf("%s: %s after %v", c.id, c.answer.Outcome, c.elapsed)
+		}
+	}
+	w.replica("single", 0).down = false
+	before := w.replica("single", 0).runs
+	w.play(2 * time.Second)
+	if w.replica("single", 0).runs == before {
+		t.Error("the upstream is not used again")
+	}
+}
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -41,7 +41,7 @@
 func (s *service) isCrowded(now model.Instant) bool {
 	crowded, usable := 0, 0
 	for _, l := range s.lanes {
-		if !l.usable(now) {
+		if !l.usable() {
 			continue
 		}
 		usable++
