--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
@@ -27,6 +28,8 @@
 	Self     model.Member
 	Registry registry.Settings
 	Relay    relay.Settings
+	// AdoptDelay is how long newer routes wait for the upstreams of their services.
+	AdoptDelay time.Duration
 	// EntryTTL is how long a caller may keep an entry answer.
 	EntryTTL time.Duration
 	// StopGrace bounds a graceful stop.
@@ -42,8 +45,11 @@
 	quarantine *quarantine.State
 	relay      *relay.State
 	lifecycle  lifecycle
-	ctx        step.Context
-	source     *rand.PCG
+	// pending are routes that wait for upstreams until pendingUntil, or nil.
+	pending      *model.RouteTable
+	pendingUntil model.Instant
+	ctx          step.Context
+	source       *rand.PCG
 	// last is the time of the last event.
 	last model.Instant
 }
@@ -137,7 +143,7 @@
 		case timer.Quarantine:
 			s.quarantine.HandleTimer(ctx, due.ID)
 		case timer.Lifecycle:
-			s.handleLifecycleTimer(ctx)
+			s.handleLifecycleTimer(ctx, due.ID)
 		}
 	}
 }
@@ -155,12 +161,13 @@
 
 // stepRegistry lets the parts follow what the registry has told.
 func (s *State) stepRegistry(ctx *step.Context, changes registry.Changes) {
-	if changes.Routes {
-		s.relay.HandleRoutes(ctx, s.registry.Routes())
-	}
 	if changes.Upstreams {
 		s.relay.HandleUpstreams(ctx, s.registry.Upstreams())
 	}
+	if changes.Routes {
+		s.prepareRoutes(ctx)
+	}
+	s.adoptRoutes(ctx)
 	if changes.Members {
 		s.relay.SetNodes(ctx, len(s.serving()))
 	}
@@ -171,6 +178,34 @@
 	s.serveWhenKnown(ctx)
 }
 
+// prepareRoutes lets newer routes wait for a moment when a route would lose its
+// upstreams by them. It answers the pattern "an index is cut into other shards while
+// the store comes back": the old shards serve on until the version is due everywhere.
+func (s *State) prepareRoutes(ctx *step.Context) {
+	waiting := s.pending != nil
+	s.pending = s.registry.Routes()
+	if waiting {
+		// The version that came first is due first, and with it the newest.
+		return
+	}
+	s.pendingUntil = ctx.Now.Add(s.settings.AdoptDelay)
+	if s.relay.Loses(s.pending) {
+		ctx.Log(effect.Info, component, "routes wait for upstreams", effect.Field{Name: "version", Value: strconv.FormatUint(uint64(s.pending.Version), 10)})
+		s.registry.RefreshUpstreams(ctx)
+		ctx.After(s.settings.AdoptDelay, timer.Lifecycle, adoptTimer)
+	}
+}
+
+// adoptRoutes puts pending routes in force when they lose nothing or have waited long
+// enough.
+func (s *State) adoptRoutes(ctx *step.Context) {
+	if s.pending == nil || ctx.Now < s.pendingUntil && s.relay.Loses(s.pending) {
+		return
+	}
+	s.relay.HandleRoutes(ctx, s.pending)
+	s.pending = nil
+}
+
 // stepReconfigured takes in settings that have changed while the node runs.
 func (s *State) stepReconfigured(ctx *step.Context, e event.Reconfigured) {
 	s.settings.Relay = relay.Settings{ExtraShare: e.ExtraShare, ExtraSlack: e.ExtraSlack}
--- a/internal/reducer/edge/edge_test.go
+++ b/internal/reducer/edge/edge_test.go
@@ -23,11 +23,12 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, now: model.Instant(1000 * time.Second), open: make(map[effect.RegistryVerb]effect.CallRegistry)}
 	f.state = New(Settings{
-		Self:      model.Member{Host: "n1", FailureDomain: "a", CallerAddress: "n1:1", PeerAddress: "n1:2", Incarnation: 1},
-		Registry:  registry.DefaultSettings(),
-		Relay:     relay.Settings{ExtraShare: 20, ExtraSlack: 56},
-		EntryTTL:  5 * time.Second,
-		StopGrace: 6 * time.Second,
+		Self:       model.Member{Host: "n1", FailureDomain: "a", CallerAddress: "n1:1", PeerAddress: "n1:2", Incarnation: 1},
+		Registry:   registry.DefaultSettings(),
+		Relay:      relay.Settings{ExtraShare: 20, ExtraSlack: 56},
+		AdoptDelay: time.Second,
+		EntryTTL:   5 * time.Second,
+		StopGrace:  6 * time.Second,
 	})
 	f.give(event.Start{})
 	return f
@@ -193,3 +194,76 @@
 		t.Errorf("dump %s", e.JSON)
 	}
 }
+
+// gatherRoutes returns a version whose only route gathers from services.
+func gatherRoutes(version model.Revision, services ...model.ServiceName) *model.RouteTable {
+	return &model.RouteTable{Version: version, Routes: []model.Route{{
+		Name: "wide", Host: "h", Prefix: "/", Gather: services, LeastCoverage: 100, MaxAttempts: 1, Repeatable: true,
+		Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
+	}}}
+}
+
+// upstreamsOf returns one registration of each service.
+func upstreamsOf(services ...string) []model.Registration {
+	var list []model.Registration
+	for _, name := range services {
+		list = append(list, model.Registration{Instance: name, Upstream: model.Upstream{
+			ID: model.UpstreamID(name + "/u"), Address: name, Slots: 1, Connections: 26,
+		}})
+	}
+	return list
+}
+
+// inForce returns the version that the relay has put in force last.
+func (f *fixture) inForce() string {
+	version := ""
+	for _, made := range f.seen {
+		if line, ok := made.(effect.Log); ok && line.Message == "routes in force" {
+			version = line.Fields[0].Value
+		}
+	}
+	return version
+}
+
+// TestRoutesWaitForUpstreams replays seconds 10 to 12 of trouble-3 of
+// hcm-kyushu-grown: after an outage a version names shards whose upstreams have not
+// registered again. The old shards serve until they have, or until the version is due.
+func TestRoutesWaitForUpstreams(t *testing.T) {
+	f := newFixture(t)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Upstreams: upstreamsOf("a", "b")})
+	f.answer(effect.ReadRoutes, event.RegistryResult{Revision: 5, Routes: gatherRoutes(1, "a", "b")})
+	f.pass(100 * time.Millisecond)
+	f.answer(effect.WatchRoutes, event.RegistryResult{Revision: 6, Routes: gatherRoutes(2, "c", "d")})
+	if f.inForce() != "1" {
+		t.Errorf("version %s in force without upstreams", f.inForce())
+	}
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Upstreams: upstreamsOf("a", "b", "c", "d")})
+	if f.inForce() != "2" {
+		t.Errorf("version %s in force with upstreams", f.inForce())
+	}
+	f.pass(100 * time.Millisecond)
+	f.answer(effect.WatchRoutes, event.RegistryResult{Revision: 7, Routes: gatherRoutes(3, "e")})
+	f.pass(900 * time.Millisecond)
+	if f.inForce() != "2" {
+		t.Errorf("version %s in force before its time", f.inForce())
+	}
+	f.pass(200 * time.Millisecond)
+	if f.inForce() != "3" {
+		t.Errorf("version %s in force when the newest is due", f.inForce())
+	}
+}
+
+// TestStormDoesNotHoldRoutesBack checks that versions in quick succession do not
+// lengthen the wait of the first one.
+func TestStormDoesNotHoldRoutesBack(t *testing.T) {
+	f := newFixture(t)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Upstreams: upstreamsOf("a")})
+	f.answer(effect.ReadRoutes, event.RegistryResult{Revision: 5, Routes: gatherRoutes(1, "a")})
+	for version := model.Revision(2); version < 10; version++ {
+		f.pass(150 * time.Millisecond)
+		f.answer(effect.WatchRoutes, event.RegistryResult{Revision: uint64(version) + 5, Routes: gatherRoutes(version, "c")})
+	}
+	if f.inForce() == "1" {
+		t.Error("the first version is in force after more than its time")
+	}
+}
--- a/internal/reducer/edge/lifecycle.go
+++ b/internal/reducer/edge/lifecycle.go
@@ -29,6 +29,12 @@
 	exitMargin = 600 * time.Millisecond
 )
 
+// The lifecycle's timers.
+const (
+	stopTimer uint64 = iota
+	adoptTimer
+)
+
 // lifecycle is where the node stands between start and exit.
 type lifecycle struct {
 	// stopped is when the stop was requested; zero before.
@@ -75,12 +81,21 @@
 	s.lifecycle.busy = ctx.Now
 	ctx.Emit(effect.PublishReady{Ready: false})
 	s.setState(ctx, model.Leaving)
-	ctx.After(stopPeriod, timer.Lifecycle, 0)
+	ctx.After(stopPeriod, timer.Lifecycle, stopTimer)
+}
+
+// handleLifecycleTimer ends the wait of pending routes, or goes on with a stop.
+func (s *State) handleLifecycleTimer(ctx *step.Context, id uint64) {
+	if id == adoptTimer {
+		s.adoptRoutes(ctx)
+		return
+	}
+	s.goOnStopping(ctx)
 }
 
-// handleLifecycleTimer closes the entrance after a while, and exits when nothing has
-// been open since, or at the end of the grace.
-func (s *State) handleLifecycleTimer(ctx *step.Context) {
+// goOnStopping closes the entrance after a while, and exits when nothing has been open
+// since, or at the end of the grace.
+func (s *State) goOnStopping(ctx *step.Context) {
 	elapsed := ctx.Now.Sub(s.lifecycle.stopped)
 	if s.relay.InFlight() > 0 {
 		s.lifecycle.busy = ctx.Now
@@ -95,7 +110,7 @@
 		s.exit(ctx)
 		return
 	}
-	ctx.After(stopPeriod, timer.Lifecycle, 0)
+	ctx.After(stopPeriod, timer.Lifecycle, stopTimer)
 }
 
 // exit ends the process and logs what it cuts.
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -241,6 +241,12 @@
 	s.call(ctx, task(id))
 }
 
+// RefreshUpstreams reads the upstreams now, whatever others say.
+func (s *State) RefreshUpstreams(ctx *step.Context) {
+	s.sharing.fedUntil[taskUpstreams] = 0
+	s.call(ctx, taskUpstreams)
+}
+
 // plan sets the time of a task's next call.
 func (s *State) plan(ctx *step.Context, t task, d time.Duration) {
 	s.loops[t].due = ctx.Now.Add(d)
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -116,9 +116,9 @@
 // known.
 const (
 	medianQuantile = 0.5
-	// hedgeQuantile sends a second attempt for about one part in ten, which leaves
-	// half of the shared budget of a fifth to failures.
-	hedgeQuantile = 0.95
+	// hedgeQuantile sends a second attempt for about one part in thirty, which leaves
+	// most of the shared budget of a fifth to failures, and few bytes between domains.
+	hedgeQuantile = 0.97
 	stallQuantile = 0.95
 	// stallFactor tells an attempt that is overdue from one that is merely slow.
 	stallFactor = 1.5
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -110,6 +110,34 @@
 		countField("version", int(table.Version)), countField("routes", len(table.Routes)))
 }
 
+// Loses reports whether a route that can be served now could not be by another
+// version of the routes, because the upstreams of its services are not known yet.
+func (s *State) Loses(table *model.RouteTable) bool {
+	for i := range table.Routes {
+		next := &table.Routes[i]
+		if known := s.routes[next.Name]; known != nil && s.servable(known.config) && !s.servable(next) {
+			return true
+		}
+	}
+	return false
+}
+
+// servable reports whether enough services of a route have upstreams.
+func (s *State) servable(config *model.Route) bool {
+	names := config.Services()
+	known := 0
+	for _, name := range names {
+		if found := s.services[name]; found != nil && len(found.lanes) > 0 {
+			known++
+		}
+	}
+	if len(config.Gather) == 0 {
+		return known == len(names)
+	}
+	r := request{config: config, parts: make([]part, len(names))}
+	return r.covered(known)
+}
+
 // lookup returns the route of a host and path: the one with the longest prefix.
 func (s *State) lookup(host, path string) *route {
 	for _, candidate := range s.hosts[host] {
