--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -96,7 +96,10 @@
 	// ID is the caller's identifier of this attempt; upstreams get it unchanged.
 	ID     string
 	Method string
-	Host   string
+	// Host is the host that routes the request, and Authority the Host header as the
+	// caller wrote it.
+	Host      string
+	Authority string
 	// Path is the path without the query, and URI both as the caller wrote them.
 	Path string
 	URI  string
--- a/internal/reducer/relay/relay_test.go
+++ b/internal/reducer/relay/relay_test.go
@@ -386,3 +386,23 @@
 		t.Error("the upstream is not used again")
 	}
 }
+
+// TestBodyLimit checks that a body over the operators' limit is refused as not run.
+func TestBodyLimit(t *testing.T) {
+	w := newWorld(t, 24, usual, 1)
+	w.service("single", 1, 1, time.Millisecond)
+	w.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 1)}, Limits: model.RequestLimits{BodyBytes: 3}})
+	n := w.nodes[0]
+	for body, refused := range map[string]bool{"abc": false, "abcd": true} {
+		w.next++
+		key := callKey{n, w.next}
+		c := &call{id: body, started: w.now, runs: make(map[string]int)}
+		w.calls[key] = c
+		request := &model.ForwardRequest{ID: body, Method: "POST", Host: "h", Path: "/one/x", URI: "/one/x", Body: []byte(body)}
+		n.step(func(ctx *step.Context) { n.state.HandleForward(ctx, event.Forward{Call: w.next, Request: request}) })
+		w.play(100 * time.Millisecond)
+		if got := c.answer.Failure != nil && c.answer.Failure.Code == model.CodeTooLarge; got != refused {
+			t.Errorf("%q: %+v", body, c.answer)
+		}
+	}
+}
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -105,6 +105,9 @@
 	if s.table == nil {
 		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the routes yet"), retryAfter: noRoutesRetry}
 	}
+	if limit := s.table.Limits.BodyBytes; limit > 0 && len(e.Request.Body) > limit {
+		return nil, &refusal{failure: model.Failf(model.CodeTooLarge, "the body is over %d bytes", limit)}
+	}
 	found := s.lookup(e.Request.Host, e.Request.Path)
 	if found == nil {
 		return nil, &refusal{failure: model.Failf(model.CodeUnknownRoute, "no route for %.100q and this path", e.Request.Host)}
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -103,6 +103,7 @@
 		})
 	}
 	s.table, s.routes, s.hosts = table, routes, hosts
+	s.forgetServices()
 	for _, l := range s.lanes {
 		s.shareLane(l)
 	}
@@ -110,6 +111,22 @@
 		countField("version", int(table.Version)), countField("routes", len(table.Routes)))
 }
 
+// forgetServices drops what is known of services that no route names and that have no
+// upstreams. Open requests keep theirs.
+func (s *State) forgetServices() {
+	named := make(map[model.ServiceName]bool)
+	for _, r := range s.routes {
+		for _, name := range r.config.Services() {
+			named[name] = true
+		}
+	}
+	for name, found := range s.services {
+		if !named[name] && len(found.lanes) == 0 {
+			delete(s.services, name)
+		}
+	}
+}
+
 // Loses reports whether a route that can be served now could not be by another
 // version of the routes, because the upstreams of its services are not known yet.
 func (s *State) Loses(table *model.RouteTable) bool {
