--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hawthorntack/hawthorntack/internal/loopback"
 )
 
 // Bounds of waiting for a process.
@@ -46,44 +46,10 @@
 // freePorts is how many addresses a script may listen on: $ADDRESS1 and so on.
 const freePorts = 8
 
-// firstPort and lastPort bound the ports of scripts. They lie below the ports
-// that the kernel gives to sockets which ask for any, so that no such socket
-// takes a script's port before the script's process listens on it.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-// nextPort is the next port to try. Processes begin at different ones.
-var nextPort atomic.Uint32
-
-// freeAddress returns a loopback address that nobody listens on and that no
-// other script of this process was given.
-func freeAddress() (string, error) {
-	for range lastPort - firstPort {
-		offset := (uint32(os.Getpid())*freePorts + nextPort.Add(1)) % (lastPort - firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		return address, listener.Close()
-	}
-	return "", noFreePortError{}
-}
-
-// noFreePortError reports that all ports of scripts are taken.
-type noFreePortError struct{}
-
-// Error implements error.
-func (noFreePortError) Error() string {
-	return fmt.Sprintf("all ports from %d to %d are taken", firstPort, lastPort)
-}
-
 // setFreePorts gives a script loopback addresses that are free.
 func setFreePorts(env *testscript.Env) error {
 	for i := range freePorts {
-		address, err := freeAddress()
+		address, err := loopback.FreeAddress()
 		if err != nil {
 			return err
 		}
