--- a/cmd/hawthorntack/main_test.go
+++ b/cmd/hawthorntack/main_test.go
@@ -34,11 +34,13 @@
 		Dir:   "testdata/script",
 		Setup: setFreePorts,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"waitfor":      waitFor,
-			"startdemo":    startDemo,
-			"page":         runPage,
-			"certificates": makeCertificates,
-			"waitfortls":   waitForTLS,
+			"waitfor":       waitFor,
+			"startdemo":     startDemo,
+			"startplatform": startPlatform,
+			"signal":        sendSignal,
+			"page":          runPage,
+			"certificates":  makeCertificates,
+			"waitfortls":    waitForTLS,
 		},
 	})
 }
