Callers use a subset of the nodes, near the upstreams

Change: package guidance selects three nodes or more a failure domain, the strongest first, near the upstreams; it grows with the load that nodes announce. These entry nodes get most of the connections and of the slack of the budgets, and keep a connection open to each upstream. The first read of the upstreams may be stale.

--- a/internal/effect/forward.go
+++ b/internal/effect/forward.go
@@ -66,6 +66,9 @@
 	// for a change.
 	After uint64
 	Wait  time.Duration
+	// AllowStale permits a read of upstreams to return a list that is some seconds old,
+	// which costs the registry less.
+	AllowStale bool
 	// Timeout is the time after which the call ends with the status StoreUnknown.
 	Timeout time.Duration
 	// Member is the announcement, and LeaseTime how long it stays valid without a
--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -32,6 +32,9 @@
 	// Weight is the host's share of callers and upstreams relative to other
 	// hosts; zero means DefaultHostWeight.
 	Weight int `json:"weight,omitempty"`
+	// Load is the host's reported load in percent of its capacity. It is coarse and
+	// seconds old.
+	Load int `json:"load,omitempty"`
 }
 
 // DefaultHostWeight is the weight of a host that sets none.
--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/guidance"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/registry"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/relay"
@@ -35,6 +36,8 @@
 	EntryTTL time.Duration
 	// StopGrace bounds the duration of a graceful shutdown.
 	StopGrace time.Duration
+	// AttemptCapacity is the number of attempts a second that the host can send.
+	AttemptCapacity float64
 }
 
 // State is the whole state of a node. It is not safe for concurrent use.
@@ -46,6 +49,11 @@
 	quarantine *quarantine.State
 	relay      *relay.State
 	lifecycle  lifecycle
+	guidance   *guidance.State
+	loadMeter  guidance.Meter
+	// serving and entryNodes are the nodes that the relay was told of last.
+	serving    []model.Member
+	entryNodes []model.Member
 	// pendingRoutes are routes that wait for upstreams, at most until pendingDeadline;
 	// nil if none wait.
 	pendingRoutes   *model.RouteTable
@@ -63,6 +71,7 @@
 		self:         settings.Self,
 		registry:     registry.New(settings.Registry),
 		quarantine:   quarantine.New(),
+		guidance:     guidance.New(),
 		randomSource: rand.NewPCG(0, 0),
 	}
 	s.self.State = model.Starting
@@ -178,8 +187,8 @@
 		s.stageRoutes(ctx)
 	}
 	s.applyPendingRoutes(ctx)
-	if changes.Members {
-		s.relay.SetMembers(ctx, s.servingMembers())
+	if changes.Members || changes.Upstreams {
+		s.updateEntryNodes(ctx)
 	}
 	s.relay.HandleObservations(ctx, changes.Observations)
 	for _, suspicion := range changes.Suspicions {
--- a/internal/reducer/edge/lifecycle.go
+++ b/internal/reducer/edge/lifecycle.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
-	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/relay"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -34,6 +32,7 @@
 const (
 	stopTimer uint64 = iota
 	pendingRoutesTimer
+	loadTimer
 )
 
 // lifecycle is the progress of a node's shutdown.
@@ -54,6 +53,8 @@
 		effect.Field{Name: "host", Value: string(s.self.Host)},
 		effect.Field{Name: "incarnation", Value: strconv.FormatUint(uint64(s.self.Incarnation), 10)})
 	s.registry.Start(ctx)
+	s.relay.Start(ctx)
+	ctx.After(loadInterval, timer.Lifecycle, loadTimer)
 }
 
 // serveWhenReady changes a starting node to serving once it has routes and upstreams.
@@ -70,6 +71,7 @@
 	s.self.State = state
 	ctx.Self = s.self
 	s.registry.Announce(ctx, s.self)
+	s.updateEntryNodes(ctx)
 	ctx.Log(effect.Info, component, string(state))
 }
 
@@ -87,14 +89,17 @@
 	ctx.After(stopCheckInterval, timer.Lifecycle, stopTimer)
 }
 
-// handleLifecycleTimer applies pending routes at their deadline, or continues a
-// shutdown.
+// handleLifecycleTimer applies pending routes at their deadline, reports the node's
+// load, or continues a shutdown.
 func (s *State) handleLifecycleTimer(ctx *step.Context, id uint64) {
-	if id == pendingRoutesTimer {
+	switch id {
+	case pendingRoutesTimer:
 		s.applyPendingRoutes(ctx)
-		return
+	case loadTimer:
+		s.reportLoad(ctx)
+	default:
+		s.continueStop(ctx)
 	}
-	s.continueStop(ctx)
 }
 
 // continueStop closes the listeners after listenFraction of the grace period. It exits
@@ -135,44 +140,6 @@
 	ctx.Emit(effect.Exit{OpenRequests: s.relay.InFlight()})
 }
 
-// servingMembers returns the nodes that callers may use, including this one while it
-// serves, ordered by host.
-func (s *State) servingMembers() []model.Member {
-	var members []model.Member
-	for _, member := range s.registry.Members() {
-		if member.Host != s.self.Host && member.State == model.Serving {
-			members = append(members, member)
-		}
-	}
-	if s.self.State == model.Serving {
-		members = append(members, s.self)
-	}
-	slices.SortFunc(members, func(a, b model.Member) int {
-		if a.Host < b.Host {
-			return -1
-		}
-		return 1
-	})
-	return members
-}
-
-// handleEntry replies with the nodes that a caller may use. Any node can serve any
-// request.
-func (s *State) handleEntry(ctx *step.Context, e event.Entry) {
-	members := s.servingMembers()
-	if len(members) == 0 {
-		ctx.Emit(effect.ReplyEntry{Call: e.Call, Failure: model.Failf(model.CodeUnavailable, "no node is known to serve")})
-		return
-	}
-	reply := effect.ReplyEntry{Call: e.Call, TTL: s.settings.EntryTTL}
-	for _, member := range members {
-		reply.Addresses = append(reply.Addresses, effect.EntryAddress{
-			Address: member.CallerAddress, Host: member.Host, FailureDomain: member.FailureDomain,
-		})
-	}
-	ctx.Emit(reply)
-}
-
 // stateDump is the JSON form of the state.
 type stateDump struct {
 	Self      model.Member      `json:"self"`
@@ -180,12 +147,17 @@
 	Version   model.Revision    `json:"version"`
 	RoutesAge string            `json:"routes_age"`
 	Members   []model.Member    `json:"members"`
-	Relay     relay.Description `json:"relay"`
+	// EntryHosts are the nodes that callers are told to use.
+	EntryHosts []model.HostID    `json:"entry_hosts"`
+	Relay      relay.Description `json:"relay"`
 }
 
 // dump returns the state as JSON.
 func (s *State) dump(ctx *step.Context) []byte {
 	d := stateDump{Self: s.self, State: s.self.State, Members: s.registry.Members(), Relay: s.relay.Describe(ctx.Now)}
+	for _, member := range s.guidance.Subset() {
+		d.EntryHosts = append(d.EntryHosts, member.Host)
+	}
 	d.RoutesAge = s.registry.RoutesAge(ctx.Now).String()
 	if routes := s.registry.Routes(); routes != nil {
 		d.Version = routes.Version
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -77,6 +77,9 @@
 	memberWatchDelayPerNode = 5 * time.Millisecond
 	// renewalsPerLease is the number of renewals within LeaseTime.
 	renewalsPerLease = 3
+	// staleReadPollIntervals is the assumed age of a stale read of the upstreams, in poll
+	// intervals, so that the view of another node's regular reads replaces it.
+	staleReadPollIntervals = 1
 	// outagePollIntervals is the time between two successful reads of the upstreams, in
 	// poll intervals, above which registrations may have expired in an outage of the
 	// store.
@@ -127,7 +130,9 @@
 	// of this node or by an update from another; for other tasks, when the last call
 	// succeeded. It is zero before the first time.
 	confirmedAt model.Instant
-	failing     bool
+	// allowStale is true if the call in flight may return old data.
+	allowStale bool
+	failing    bool
 }
 
 // State is the registry view of one node. It is not safe for concurrent use.
@@ -207,6 +212,7 @@
 	state.operation = s.lastOperation
 	state.nextCallAt = 0
 	state.verb = e.Verb
+	state.allowStale = e.AllowStale
 	e.Operation = s.lastOperation
 	e.Timeout = callTimeout + e.Wait
 	if e.Wait > 0 {
@@ -226,7 +232,10 @@
 		}
 		return effect.CallRegistry{Verb: effect.WatchRoutes, After: state.watchRevision, Wait: s.settings.RouteWait}, true
 	case taskUpstreams:
-		return effect.CallRegistry{Verb: effect.ReadUpstreams}, true
+		// When a whole fleet starts, each node reads every page of the list. A stale read
+		// is cheap, and suffices until the reader of the domain has been found or the next
+		// read is due.
+		return effect.CallRegistry{Verb: effect.ReadUpstreams, AllowStale: state.confirmedAt == 0}, true
 	case taskMembers:
 		if state.watchRevision == 0 {
 			return effect.CallRegistry{Verb: effect.ReadMembers}, true
@@ -292,8 +301,12 @@
 		state.failing = false
 		ctx.Log(effect.Info, component, "the registry answers again", effect.Field{Name: "task", Value: taskNames[t]})
 	}
-	changes := s.applyResult(ctx, t, e)
-	state.confirmedAt = ctx.Now
+	readAt := ctx.Now
+	if state.allowStale {
+		readAt = ctx.Now.Add(-staleReadPollIntervals * s.settings.PollInterval)
+	}
+	changes := s.applyResult(ctx, t, e, readAt)
+	state.confirmedAt = readAt
 	s.scheduleCall(ctx, t, s.callDelay(t))
 	if t == taskRoutes || t == taskUpstreams || t == taskMembers {
 		s.sharing.suspicions = changes.Suspicions
@@ -318,13 +331,13 @@
 	}
 }
 
-// applyResult applies a successful result.
-func (s *State) applyResult(ctx *step.Context, t task, e event.RegistryResult) Changes {
+// applyResult applies a successful result whose data was current at readAt.
+func (s *State) applyResult(ctx *step.Context, t task, e event.RegistryResult, readAt model.Instant) Changes {
 	switch t {
 	case taskRoutes:
 		return s.applyRoutes(ctx, e)
 	case taskUpstreams:
-		return Changes{Upstreams: s.applyUpstreams(ctx, e.Upstreams, ctx.Now)}
+		return Changes{Upstreams: s.applyUpstreams(ctx, e.Upstreams, readAt)}
 	case taskMembers:
 		return s.applyMembers(ctx, e)
 	case taskLease:
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -369,7 +369,7 @@
 	digest := xxhash.New()
 	for _, m := range list {
 		writeStrings(digest, string(m.Host), string(m.FailureDomain), m.CallerAddress, m.PeerAddress, string(m.State))
-		writeNumbers(digest, uint64(m.Incarnation))
+		writeNumbers(digest, uint64(m.Incarnation), uint64(m.Weight), uint64(m.Load))
 	}
 	return digest.Sum64()
 }
--- a/internal/reducer/relay/describe.go
+++ b/internal/reducer/relay/describe.go
@@ -14,10 +14,14 @@
 
 // Description is the relay's part of the state dump.
 type Description struct {
-	Nodes       int `json:"nodes"`
-	Requests    int `json:"requests"`
-	Attempts    int `json:"attempts"`
-	Connections int `json:"connections"`
+	// EntryNodes is the number of nodes that callers are told to use, OtherNodes that of
+	// the other serving nodes. IsEntryNode is true if this node is an entry node.
+	EntryNodes  int  `json:"entry_nodes"`
+	OtherNodes  int  `json:"other_nodes"`
+	IsEntryNode bool `json:"entry_node"`
+	Requests    int  `json:"requests"`
+	Attempts    int  `json:"attempts"`
+	Connections int  `json:"connections"`
 	// Delegations counts the open subqueries that this node sent, and Subqueries those
 	// that it received.
 	Delegations int                   `json:"delegations"`
@@ -65,7 +69,8 @@
 // upstreams.
 func (s *State) Describe(now model.Instant) Description {
 	d := Description{
-		Nodes: s.nodes, Requests: len(s.requests), Attempts: len(s.attempts), Connections: len(s.connections),
+		EntryNodes: s.sharing.entryNodes, OtherNodes: s.sharing.otherNodes, IsEntryNode: s.sharing.isEntry,
+		Requests: len(s.requests), Attempts: len(s.attempts), Connections: len(s.connections),
 		Delegations: len(s.delegations), Subqueries: len(s.subqueries),
 	}
 	for domain, helpers := range s.helpers {
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -63,9 +63,8 @@
 	quarantine        *quarantine.State
 	suspicionReporter SuspicionReporter
 	replicas          *replica.Table
-	// nodes is the number of nodes that share the upstreams and the budgets, at least
-	// one.
-	nodes int
+	sharing           sharing
+	startedAt         model.Instant
 	// helpers are the nodes of other failure domains that may run subqueries, by domain.
 	// helperPausedUntil is the time until which a helper gets no subqueries, because it
 	// was lost or did not report in time.
@@ -88,6 +87,8 @@
 	delegations map[uint64]*delegation
 	subqueries  map[origin]*request
 
+	// attemptsSent counts the attempts that were sent to upstreams.
+	attemptsSent   uint64
 	nextPool       uint64
 	nextRequest    uint64
 	nextAttempt    uint64
@@ -102,7 +103,7 @@
 		quarantine:        q,
 		suspicionReporter: suspicions,
 		replicas:          replica.NewTable(),
-		nodes:             1,
+		sharing:           newSharing(),
 		routes:            make(map[string]*route),
 		hosts:             make(map[string][]*route),
 		services:          make(map[model.ServiceName]*service),
@@ -121,23 +122,12 @@
 // Configure replaces the settings.
 func (s *State) Configure(settings Settings) { s.settings = settings }
 
+// AttemptsSent returns the number of attempts sent to upstreams since the start.
+func (s *State) AttemptsSent() uint64 { return s.attemptsSent }
+
 // InFlight returns the number of open requests.
 func (s *State) InFlight() int { return len(s.requests) }
 
-// SetMembers sets the nodes that share the upstreams' connections and the budgets.
-func (s *State) SetMembers(ctx *step.Context, members []model.Member) {
-	s.setHelpers(ctx, members)
-	nodes := max(1, len(members))
-	if nodes == s.nodes {
-		return
-	}
-	s.nodes = nodes
-	for _, pool := range s.pools {
-		s.updatePoolLimits(pool)
-	}
-	ctx.Log(effect.Info, component, "upstreams are shared", countField("nodes", nodes))
-}
-
 // HandleForward starts a caller's request, or refuses it.
 func (s *State) HandleForward(ctx *step.Context, e event.Forward) {
 	r, refused := s.prepare(ctx, e)
@@ -228,6 +218,7 @@
 	requestTimer timerKind = iota
 	attemptTimer
 	poolTimer
+	warmTimer
 	timerKindCount
 )
 
@@ -236,7 +227,8 @@
 	ctx.After(d, timer.Relay, number*uint64(timerKindCount)+uint64(kind))
 }
 
-// HandleTimer handles the timers of requests, abandoned attempts and upstream pools.
+// HandleTimer handles the timers of requests, abandoned attempts, upstream pools and the
+// opening of connections ahead of requests.
 func (s *State) HandleTimer(ctx *step.Context, id uint64) {
 	number := id / uint64(timerKindCount)
 	switch timerKind(id % uint64(timerKindCount)) {
@@ -249,5 +241,7 @@
 			s.reconnect(ctx, pool)
 			s.drainQueue(ctx, pool)
 		}
+	case warmTimer:
+		s.handleWarmTimer(ctx)
 	}
 }
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -64,14 +64,6 @@
 	usedSlackShare  = 0.7
 )
 
-// extraLimits returns this node's share of a service's budget.
-func (s *State) extraLimits() budget.Limits {
-	return budget.Limits{
-		Share: s.settings.ExtraAttemptBudget * usedBudgetShare,
-		Burst: s.settings.ExtraAttemptSlack * usedSlackShare / float64(s.nodes),
-	}
-}
-
 // ensureService returns the service with a name, and adds it if it does not exist.
 func (s *State) ensureService(name model.ServiceName) *service {
 	found := s.services[name]
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -164,7 +164,7 @@
 		members[i] = n.ctx.Self
 	}
 	for _, n := range sim.nodes {
-		n.step(func(ctx *step.Context) { n.state.SetMembers(ctx, members) })
+		n.step(func(ctx *step.Context) { n.state.SetMembers(ctx, members, members) })
 	}
 }
 
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -128,9 +128,7 @@
 	if s.table != nil && s.table.MaxConnections[upstream.ID.Service()] > 0 {
 		accepted = s.table.MaxConnections[upstream.ID.Service()]
 	}
-	// One share is reserved for another node, because nodes learn of each other with a
-	// delay.
-	pool.maxConnections = max(1, accepted/(s.nodes+1))
+	pool.maxConnections = s.sharing.connections(accepted)
 	pool.limit.SetCeiling(min(pool.maxConnections, max(1, upstream.Slots)+pipelinedAttempts))
 }
 
@@ -226,6 +224,7 @@
 	a.knownSuspect = s.isKnownSuspect(ctx, r)
 	r.parts[a.part].possibleRuns++
 	r.anySent = true
+	s.attemptsSent++
 	ctx.Emit(effect.SendForward{
 		Connection: c.id,
 		Attempt:    a.number,
--- a/internal/reducer/rendezvous/rendezvous.go
+++ b/internal/reducer/rendezvous/rendezvous.go
@@ -15,9 +15,20 @@
 // Top returns at most count hosts with the highest weights for a key, in
 // descending order of weight. Equal weights are ordered by host.
 func Top(hosts []model.HostID, count int, key string) []model.HostID {
-	weight := func(host model.HostID) uint64 { return xxhash.Sum64String(key + "/" + string(host)) }
-	sorted := slices.SortedFunc(slices.Values(hosts), func(a, b model.HostID) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
+	type weighted struct {
+		host   model.HostID
+		weight uint64
+	}
+	ranked := make([]weighted, len(hosts))
+	for i, host := range hosts {
+		ranked[i] = weighted{host: host, weight: xxhash.Sum64String(key + "/" + string(host))}
+	}
+	slices.SortFunc(ranked, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.host, b.host))
 	})
-	return sorted[:min(count, len(sorted))]
+	top := make([]model.HostID, min(count, len(ranked)))
+	for i := range top {
+		top[i] = ranked[i].host
+	}
+	return top
 }
