Registry: stale reads at the start, a watch of the upstreams, short leases of entry nodes only

At the start each of 118 nodes read every page, and again two seconds later because its reader polled at the same moment; readers then read 6 to 14 pages every 2 s.

Change: until a node has found its reader it makes stale reads only; a reader reads anew as soon as it knows its part, then watches the upstreams in place of reading them. Nodes that callers do not use renew a lease of 8 s. A node starts to count as an entry node only with the load that others report, not with its first view of the fleet.

--- a/internal/effect/forward.go
+++ b/internal/effect/forward.go
@@ -40,6 +40,8 @@
 	WatchRoutes
 	// ReadUpstreams reads all registrations of upstreams.
 	ReadUpstreams
+	// WatchUpstreams waits for a change of the registrations after a revision.
+	WatchUpstreams
 	// ReadMembers reads the nodes' announcements and suspicions.
 	ReadMembers
 	// WatchMembers waits for a change of the announcements or suspicions after a
@@ -66,8 +68,8 @@
 	// for a change.
 	After uint64
 	Wait  time.Duration
-	// AllowStale permits a read of upstreams to return a list that is some seconds old,
-	// which costs the registry less.
+	// AllowStale permits a read to return data that is some seconds old, which costs the
+	// registry less.
 	AllowStale bool
 	// Timeout is the time after which the call ends with the status StoreUnknown.
 	Timeout time.Duration
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -55,8 +55,11 @@
 	// Routes is the routing configuration, or nil if there is none or it has not
 	// changed.
 	Routes *model.RouteTable
-	// Upstreams lists all valid registrations of upstreams.
-	Upstreams []model.Registration
+	// Upstreams lists the valid registrations of upstreams, after a watch those that have
+	// changed. RemovedUpstreams lists the instances whose registration a watch reported
+	// as removed or no longer valid.
+	Upstreams        []model.Registration
+	RemovedUpstreams []string
 	// Members lists the nodes; RemovedMembers lists those whose removal a watch
 	// reported.
 	Members        []model.Member
--- a/internal/reducer/edge/edge_test.go
+++ b/internal/reducer/edge/edge_test.go
@@ -23,9 +23,11 @@
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, now: model.Instant(1000 * time.Second), open: make(map[effect.RegistryVerb]effect.CallRegistry)}
+	registrySettings := registry.DefaultSettings()
+	registrySettings.BootstrapTime = 0
 	f.state = New(Settings{
 		Self:       model.Member{Host: "n1", FailureDomain: "a", CallerAddress: "n1:1", PeerAddress: "n1:2", Incarnation: 1},
-		Registry:   registry.DefaultSettings(),
+		Registry:   registrySettings,
 		Relay:      relay.Settings{ExtraAttemptBudget: 20, ExtraAttemptSlack: 56},
 		AdoptDelay: time.Second,
 		EntryTTL:   5 * time.Second,
--- a/internal/reducer/edge/entry.go
+++ b/internal/reducer/edge/entry.go
@@ -30,6 +30,8 @@
 			effect.Field{Name: "serving", Value: strconv.Itoa(len(serving))})
 	}
 	s.serving, s.entryNodes = serving, subset
+	isEntry := slices.ContainsFunc(subset, func(member model.Member) bool { return member.Host == s.self.Host })
+	s.registry.SetEntry(ctx, isEntry && len(serving) > 1)
 	s.relay.SetMembers(ctx, serving, subset)
 }
 
--- a/internal/reducer/registry/members.go
+++ b/internal/reducer/registry/members.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"time"
+
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
@@ -29,9 +31,8 @@
 // applyMembers applies a read of all announcements, or the changes that a watch has
 // returned. A read after a store outage may lack nodes whose leases have expired
 // meanwhile. They announce themselves again; until then they are not listed.
-func (s *State) applyMembers(_ *step.Context, e event.RegistryResult) Changes {
+func (s *State) applyMembers(e event.RegistryResult) Changes {
 	task := &s.tasks[taskMembers]
-	task.watchRevision = e.Revision
 	if task.verb == effect.ReadMembers {
 		clear(s.members.byHost)
 	}
@@ -56,6 +57,10 @@
 	// member is the announced description; its host is empty before the first
 	// announcement.
 	member model.Member
+	// time is the duration of the lease, and isEntry is true while callers are told to
+	// use the node.
+	time    time.Duration
+	isEntry bool
 	// id is the registry's lease identifier, zero if no lease is known to be valid.
 	id uint64
 	// needsWrite is set while the announcement differs from the registry's.
@@ -76,6 +81,16 @@
 	s.startCall(ctx, taskLease)
 }
 
+// SetEntry states whether callers are told to use the node. An entry node replaces a
+// long lease by one of LeaseTime.
+func (s *State) SetEntry(ctx *step.Context, isEntry bool) {
+	s.lease.isEntry = isEntry
+	if isEntry && s.lease.id != 0 && s.lease.time > s.settings.LeaseTime && !s.lease.withdrawing {
+		s.lease.lost = true
+		s.startCall(ctx, taskLease)
+	}
+}
+
 // Withdraw removes the announcement by ending its lease.
 func (s *State) Withdraw(ctx *step.Context) {
 	s.lease.withdrawing = true
@@ -96,12 +111,23 @@
 		return effect.CallRegistry{Verb: effect.Withdraw, Lease: lease.id}, true
 	case lease.id == 0 || lease.needsWrite:
 		lease.needsWrite = false
-		return effect.CallRegistry{Verb: effect.Announce, Member: lease.member, Lease: lease.id, LeaseTime: s.settings.LeaseTime}, true
+		if lease.id == 0 {
+			lease.time = s.leaseTime()
+		}
+		return effect.CallRegistry{Verb: effect.Announce, Member: lease.member, Lease: lease.id, LeaseTime: lease.time}, true
 	default:
 		return effect.CallRegistry{Verb: effect.RenewLease, Lease: lease.id}, true
 	}
 }
 
+// leaseTime returns the duration of a new lease.
+func (s *State) leaseTime() time.Duration {
+	if s.lease.isEntry {
+		return s.settings.LeaseTime
+	}
+	return s.settings.SpareLeaseTime
+}
+
 // applyLease applies a successful result of a lease call.
 func (s *State) applyLease(e event.RegistryResult) {
 	switch s.tasks[taskLease].verb {
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -22,9 +22,9 @@
 
 // Settings are the intervals and timeouts of the registry calls.
 type Settings struct {
-	// PollInterval is the time between two reads of the upstreams. Together with the
-	// duration of the call it bounds the delay until the node sees that an upstream is
-	// leaving.
+	// PollInterval is how long one watch of the upstreams waits for a change. Together
+	// with WatchMargin it bounds the delay until the node notices that the watch no
+	// longer responds, and thus that an upstream is leaving.
 	PollInterval time.Duration
 	// RouteWait is how long one watch of the routes waits for a change. A watch over a
 	// dead connection is detected RouteWait plus WatchMargin after its start, so their
@@ -32,8 +32,14 @@
 	RouteWait time.Duration
 	// MemberWait is how long one watch of the nodes waits for a change.
 	MemberWait time.Duration
-	// LeaseTime is how long the announcement stays in the registry without a renewal.
-	LeaseTime time.Duration
+	// LeaseTime is how long the announcement of an entry node stays in the registry
+	// without a renewal, and SpareLeaseTime that of another node. Callers meet an entry
+	// node that has failed, so that its lease is shorter.
+	LeaseTime      time.Duration
+	SpareLeaseTime time.Duration
+	// BootstrapTime is how long after its start a node makes only stale reads while it
+	// waits for the view of a reader.
+	BootstrapTime time.Duration
 	// ReregisterTime is how long registrations that are missing after a store outage
 	// are kept: within this time each live upstream registers again.
 	ReregisterTime time.Duration
@@ -52,6 +58,11 @@
 	DefaultMemberWait = 5 * time.Second
 	// DefaultLeaseTime lets a lease survive two lost renewals.
 	DefaultLeaseTime = 4 * time.Second
+	// DefaultSpareLeaseTime halves the renewals of the nodes that callers do not use.
+	DefaultSpareLeaseTime = 8 * time.Second
+	// DefaultBootstrapTime is long enough for a fleet that starts together to announce
+	// itself and to subscribe to its readers.
+	DefaultBootstrapTime = 2400 * time.Millisecond
 	// DefaultReregisterTime is the 2 s within which upstreams register again on the
 	// platform, plus a margin of half a heartbeat.
 	DefaultReregisterTime = 2500 * time.Millisecond
@@ -77,8 +88,14 @@
 	memberWatchDelayPerNode = 5 * time.Millisecond
 	// renewalsPerLease is the number of renewals within LeaseTime.
 	renewalsPerLease = 3
-	// staleReadPollIntervals is the assumed age of a stale read of the upstreams, in poll
-	// intervals, so that the view of another node's regular reads replaces it.
+	// upstreamWatchDelay separates two watches of the upstreams, so that changes in quick
+	// succession arrive in one reply.
+	upstreamWatchDelay = 500 * time.Millisecond
+	// bootstrapInterval is the time between two stale reads of the members, and bounds
+	// the jitter of the node's own reads at the end of the bootstrap.
+	bootstrapInterval = 400 * time.Millisecond
+	// staleReadPollIntervals is the assumed age of a stale read, in poll intervals, so
+	// that the view of another node replaces it.
 	staleReadPollIntervals = 1
 	// outagePollIntervals is the time between two successful reads of the upstreams, in
 	// poll intervals, above which registrations may have expired in an outage of the
@@ -93,6 +110,8 @@
 		RouteWait:      DefaultRouteWait,
 		MemberWait:     DefaultMemberWait,
 		LeaseTime:      DefaultLeaseTime,
+		SpareLeaseTime: DefaultSpareLeaseTime,
+		BootstrapTime:  DefaultBootstrapTime,
 		ReregisterTime: DefaultReregisterTime,
 	}
 }
@@ -138,6 +157,7 @@
 // State is the registry view of one node. It is not safe for concurrent use.
 type State struct {
 	settings      Settings
+	startedAt     model.Instant
 	lastOperation model.OperationID
 	tasks         [taskCount]taskState
 
@@ -176,6 +196,7 @@
 
 // Start starts the first reads and schedules the first subscription.
 func (s *State) Start(ctx *step.Context) {
+	s.startedAt = ctx.Now
 	s.scheduleCall(ctx, taskSubscribe, firstSubscribeDelay)
 	for _, t := range []task{taskRoutes, taskUpstreams, taskMembers} {
 		s.startCall(ctx, t)
@@ -204,7 +225,7 @@
 		s.scheduleCall(ctx, t, sharedUntil.Sub(ctx.Now))
 		return
 	}
-	e, due := s.nextCall(t)
+	e, due := s.nextCall(ctx, t)
 	if !due {
 		return
 	}
@@ -223,24 +244,14 @@
 }
 
 // nextCall returns the next call of a task, and false if there is none to make.
-func (s *State) nextCall(t task) (effect.CallRegistry, bool) {
-	state := &s.tasks[t]
+func (s *State) nextCall(ctx *step.Context, t task) (effect.CallRegistry, bool) {
 	switch t {
 	case taskRoutes:
-		if state.watchRevision == 0 {
-			return effect.CallRegistry{Verb: effect.ReadRoutes}, true
-		}
-		return effect.CallRegistry{Verb: effect.WatchRoutes, After: state.watchRevision, Wait: s.settings.RouteWait}, true
+		return s.readOrWatch(ctx, t, effect.ReadRoutes, effect.WatchRoutes, s.settings.RouteWait), true
 	case taskUpstreams:
-		// When a whole fleet starts, each node reads every page of the list. A stale read
-		// is cheap, and suffices until the reader of the domain has been found or the next
-		// read is due.
-		return effect.CallRegistry{Verb: effect.ReadUpstreams, AllowStale: state.confirmedAt == 0}, true
+		return s.readOrWatch(ctx, t, effect.ReadUpstreams, effect.WatchUpstreams, s.settings.PollInterval), true
 	case taskMembers:
-		if state.watchRevision == 0 {
-			return effect.CallRegistry{Verb: effect.ReadMembers}, true
-		}
-		return effect.CallRegistry{Verb: effect.WatchMembers, After: state.watchRevision, Wait: s.settings.MemberWait}, true
+		return s.readOrWatch(ctx, t, effect.ReadMembers, effect.WatchMembers, s.settings.MemberWait), true
 	case taskLease:
 		return s.nextLeaseCall()
 	default:
@@ -248,6 +259,22 @@
 	}
 }
 
+// readOrWatch returns a read if the task has no revision to watch from, and otherwise a
+// watch.
+func (s *State) readOrWatch(ctx *step.Context, t task, read, watch effect.RegistryVerb, wait time.Duration) effect.CallRegistry {
+	if revision := s.tasks[t].watchRevision; revision != 0 {
+		return effect.CallRegistry{Verb: watch, After: revision, Wait: wait}
+	}
+	return effect.CallRegistry{Verb: read, AllowStale: s.isBootstrapping(ctx)}
+}
+
+// isBootstrapping reports whether the node has just started and does not know its reader
+// yet. When a whole fleet starts, each node would otherwise read every page of the
+// registry. A stale read is cheap, and suffices until the reader has sent its view.
+func (s *State) isBootstrapping(ctx *step.Context) bool {
+	return s.sharing.reader == "" && ctx.Now.Sub(s.startedAt) < s.settings.BootstrapTime
+}
+
 // HandleTimer starts the call that is scheduled for now.
 func (s *State) HandleTimer(ctx *step.Context, id uint64) {
 	if id >= uint64(taskCount) {
@@ -307,7 +334,13 @@
 	}
 	changes := s.applyResult(ctx, t, e, readAt)
 	state.confirmedAt = readAt
-	s.scheduleCall(ctx, t, s.callDelay(t))
+	state.watchRevision = e.Revision
+	if state.allowStale {
+		// The revision of old data may be that of the store, and a watch from there would
+		// miss changes.
+		state.watchRevision = 0
+	}
+	s.scheduleCall(ctx, t, s.callDelay(ctx, t))
 	if t == taskRoutes || t == taskUpstreams || t == taskMembers {
 		s.sharing.suspicions = changes.Suspicions
 		s.updateSubscribers(ctx)
@@ -316,12 +349,18 @@
 }
 
 // callDelay returns the delay between a successful result of a task and its next call.
-func (s *State) callDelay(t task) time.Duration {
+func (s *State) callDelay(ctx *step.Context, t task) time.Duration {
+	if s.tasks[t].allowStale {
+		return s.staleDelay(ctx, t)
+	}
 	switch t {
 	case taskUpstreams:
-		return s.settings.PollInterval
+		if s.tasks[t].watchRevision == 0 {
+			return s.settings.PollInterval
+		}
+		return min(upstreamWatchDelay, s.settings.PollInterval/2)
 	case taskLease:
-		return s.settings.LeaseTime / renewalsPerLease
+		return s.lease.time / renewalsPerLease
 	case taskMembers:
 		return max(memberWatchDelay, time.Duration(len(s.members.list))*memberWatchDelayPerNode)
 	case taskRoutes:
@@ -331,15 +370,31 @@
 	}
 }
 
+// staleDelay returns the delay between a stale read and the next call. The members are
+// read again soon, since they show who the reader is, and so is everything that was not
+// there yet. The rest comes from the reader or, if there is none, from the node's own
+// reads at the end of the bootstrap, which are spread over time.
+func (s *State) staleDelay(ctx *step.Context, t task) time.Duration {
+	if t == taskMembers || t == taskRoutes && s.routes == nil {
+		return bootstrapInterval
+	}
+	jitter := time.Duration(ctx.Random.Int64N(int64(bootstrapInterval)))
+	return max(0, s.startedAt.Add(s.settings.BootstrapTime).Sub(ctx.Now)) + jitter
+}
+
 // applyResult applies a successful result whose data was current at readAt.
 func (s *State) applyResult(ctx *step.Context, t task, e event.RegistryResult, readAt model.Instant) Changes {
 	switch t {
 	case taskRoutes:
-		return s.applyRoutes(ctx, e)
+		return s.applyRoutes(e)
 	case taskUpstreams:
-		return Changes{Upstreams: s.applyUpstreams(ctx, e.Upstreams, readAt)}
+		read := e.Upstreams
+		if s.tasks[t].verb == effect.WatchUpstreams {
+			read = s.upstreams.merge(e.Upstreams, e.RemovedUpstreams)
+		}
+		return Changes{Upstreams: s.applyUpstreams(ctx, read, readAt)}
 	case taskMembers:
-		return s.applyMembers(ctx, e)
+		return s.applyMembers(e)
 	case taskLease:
 		s.applyLease(e)
 	case taskReport:
@@ -349,8 +404,7 @@
 }
 
 // applyRoutes applies the result of a read or watch of the routes.
-func (s *State) applyRoutes(_ *step.Context, e event.RegistryResult) Changes {
-	s.tasks[taskRoutes].watchRevision = e.Revision
+func (s *State) applyRoutes(e event.RegistryResult) Changes {
 	return Changes{Routes: s.setRoutesIfNewer(e.Routes)}
 }
 
--- a/internal/reducer/registry/registry_test.go
+++ b/internal/reducer/registry/registry_test.go
@@ -30,8 +30,15 @@
 	changes Changes
 }
 
+// newFixture returns a node that starts without the bootstrap, as if it were already over.
 func newFixture(t *testing.T, host string) *fixture {
-	f := &fixture{t: t, state: New(DefaultSettings()), open: make(map[effect.RegistryVerb]effect.CallRegistry)}
+	settings := DefaultSettings()
+	settings.BootstrapTime = 0
+	return newFixtureWith(t, host, settings)
+}
+
+func newFixtureWith(t *testing.T, host string, settings Settings) *fixture {
+	f := &fixture{t: t, state: New(settings), open: make(map[effect.RegistryVerb]effect.CallRegistry)}
 	f.ctx = step.Context{
 		Now:    model.Instant(1000 * time.Second),
 		Random: rand.New(rand.NewPCG(1, 1)),
@@ -228,6 +235,7 @@
 // again when the lease has ended, and that it can be withdrawn.
 func TestAnnouncement(t *testing.T) {
 	f := newFixture(t, "n1")
+	f.step(func() { f.state.SetEntry(&f.ctx, true) })
 	f.step(func() { f.state.Announce(&f.ctx, f.ctx.Self) })
 	f.answer(effect.Announce, event.RegistryResult{Lease: 77})
 	f.advance(DefaultLeaseTime / renewalsPerLease)
@@ -296,7 +304,7 @@
 			subscriber.advance(50 * time.Millisecond)
 			for verb := range reader.open {
 				result := event.RegistryResult{Revision: 6, Lease: 1}
-				if verb == effect.ReadUpstreams {
+				if verb == effect.ReadUpstreams || verb == effect.WatchUpstreams {
 					result.Upstreams = upstreams
 				}
 				if verb == effect.ReadMembers {
@@ -518,3 +526,110 @@
 		}
 	}
 }
+
+// TestFleetStartMakesFewCalls guards against a fleet whose nodes all read every page of the
+// registry when they start together. Until a node has found its reader it makes only stale
+// reads; a subscriber then uses the reader's view, and the reader reads for itself.
+func TestFleetStartMakesFewCalls(t *testing.T) {
+	probe := newFixture(t, "n1")
+	answerInitialReads(probe, 1, "u1")
+	readerHost := probe.state.readerOf("a", "").Host
+	all := []model.Member{member("n1"), member("n2"), member("n3")}
+	for _, self := range all {
+		f := newFixtureWith(t, string(self.Host), DefaultSettings())
+		for verb, call := range f.open {
+			if !call.AllowStale {
+				t.Errorf("%s: the first call of verb %d is not a stale read", self.Host, verb)
+			}
+		}
+		f.answer(effect.ReadRoutes, event.RegistryResult{Revision: 5, Routes: &model.RouteTable{Version: 1}})
+		f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 5, Upstreams: registrations("u1")})
+		f.answer(effect.ReadMembers, event.RegistryResult{Revision: 5})
+		f.advance(bootstrapInterval)
+		f.answer(effect.ReadMembers, event.RegistryResult{Revision: 5, Members: all})
+		f.advance(firstSubscribeDelay)
+		_, reads := f.open[effect.ReadUpstreams]
+		if isReader := self.Host == readerHost; reads != isReader {
+			t.Errorf("%s: reads the upstreams %t, is the reader %t", self.Host, reads, isReader)
+		}
+		if call := f.open[effect.ReadUpstreams]; call.AllowStale {
+			t.Errorf("%s: the reader's read is stale", self.Host)
+		}
+	}
+}
+
+// TestBootstrapEndsWithoutReader guards against a node that uses stale data for long
+// because no reader answers: at the end of the bootstrap it reads the registry itself.
+func TestBootstrapEndsWithoutReader(t *testing.T) {
+	f := newFixtureWith(t, "n1", DefaultSettings())
+	answerInitialReads(f, 1, "u1")
+	f.advance(DefaultBootstrapTime + 2*bootstrapInterval)
+	for _, verb := range []effect.RegistryVerb{effect.ReadRoutes, effect.ReadUpstreams} {
+		if call, found := f.open[verb]; !found || call.AllowStale {
+			t.Errorf("call of verb %d in flight %t, stale %t, want a read that is not stale", verb, found, call.AllowStale)
+		}
+	}
+}
+
+// TestWatchedUpstreams checks that the view follows the changes that a watch reports, and
+// that the node reads the whole list again after the watch has failed.
+func TestWatchedUpstreams(t *testing.T) {
+	f := newFixture(t, "n1")
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 5, Upstreams: registrations("u1", "u2")})
+	f.advance(upstreamWatchDelay)
+	if call := f.open[effect.WatchUpstreams]; call.After != 5 {
+		t.Fatalf("watch after revision %d, want 5", call.After)
+	}
+	f.answer(effect.WatchUpstreams, event.RegistryResult{Revision: 7, Upstreams: registrations("u3"), RemovedUpstreams: []string{"u1", "unknown"}})
+	if got := f.upstreamNames(); got != "u2 u3 " {
+		t.Errorf("upstreams after the watch: %s", got)
+	}
+	f.advance(upstreamWatchDelay)
+	f.answer(effect.WatchUpstreams, event.RegistryResult{Revision: 7})
+	if got := f.upstreamNames(); got != "u2 u3 " {
+		t.Errorf("upstreams after a watch without changes: %s", got)
+	}
+	f.advance(upstreamWatchDelay)
+	f.answer(effect.WatchUpstreams, event.RegistryResult{Status: event.StoreTruncated})
+	if _, reads := f.open[effect.ReadUpstreams]; !reads {
+		t.Error("no read after the store lost the revision")
+	}
+}
+
+// TestWatchedUpstreamsAfterOutage checks that registrations that expired in an outage of
+// the store are kept until live upstreams have had the time to register again.
+func TestWatchedUpstreamsAfterOutage(t *testing.T) {
+	f := newFixture(t, "n1")
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 5, Upstreams: registrations("u1", "u2")})
+	f.advance(upstreamWatchDelay)
+	f.answer(effect.WatchUpstreams, event.RegistryResult{Status: event.StoreUnknown})
+	f.advance(3 * DefaultPollInterval)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 9, Upstreams: registrations("u1")})
+	if got := f.upstreamNames(); got != "u1 u2 " {
+		t.Errorf("upstreams right after the outage: %s", got)
+	}
+	for range 4 {
+		f.advance(DefaultPollInterval)
+		if _, watches := f.open[effect.WatchUpstreams]; watches {
+			f.answer(effect.WatchUpstreams, event.RegistryResult{Revision: 9})
+		}
+	}
+	if got := f.upstreamNames(); got != "u1 " {
+		t.Errorf("upstreams four seconds after the outage: %s", got)
+	}
+}
+
+// TestEntryNodeHasShortLease checks that a node takes a shorter lease when callers are told
+// to use it, so that they do not meet it for long after it has failed.
+func TestEntryNodeHasShortLease(t *testing.T) {
+	f := newFixture(t, "n1")
+	f.step(func() { f.state.Announce(&f.ctx, f.ctx.Self) })
+	if call := f.open[effect.Announce]; call.LeaseTime != DefaultSpareLeaseTime {
+		t.Errorf("lease of %v, want %v", call.LeaseTime, DefaultSpareLeaseTime)
+	}
+	f.answer(effect.Announce, event.RegistryResult{Lease: 7})
+	f.step(func() { f.state.SetEntry(&f.ctx, true) })
+	if call := f.open[effect.Announce]; call.Lease != 0 || call.LeaseTime != DefaultLeaseTime {
+		t.Errorf("announcement of an entry node %+v", call)
+	}
+}
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -98,7 +98,7 @@
 
 // handleSubscribeTimer sends a subscription to the reader of the node's domain.
 func (s *State) handleSubscribeTimer(ctx *step.Context) {
-	s.scheduleCall(ctx, taskSubscribe, subscribeInterval)
+	s.scheduleCall(ctx, taskSubscribe, s.subscribeDelay(ctx))
 	s.sharing.ownObservations = s.sharing.observer.TakeObservations()
 	if s.tasks[taskMembers].confirmedAt == 0 || s.tasks[taskUpstreams].confirmedAt == 0 {
 		return
@@ -112,12 +112,33 @@
 	if reader.Host != s.sharing.reader {
 		s.sharing.reader = reader.Host
 		ctx.Log(effect.Info, component, "reader of the domain", effect.Field{Name: "host", Value: string(reader.Host)})
+		if reader.Host == ctx.Self.Host {
+			s.replaceStaleReads(ctx)
+		}
 	}
 	if reader.Host != "" && reader.Host != ctx.Self.Host && reader.PeerAddress != "" {
 		s.sendSubscribe(ctx, reader)
 	}
 }
 
+// subscribeDelay returns the delay to the next subscription, which is short until the
+// node has found a reader after its start.
+func (s *State) subscribeDelay(ctx *step.Context) time.Duration {
+	if s.isBootstrapping(ctx) {
+		return firstSubscribeDelay
+	}
+	return subscribeInterval
+}
+
+// replaceStaleReads reads anew what the node has only from stale reads.
+func (s *State) replaceStaleReads(ctx *step.Context) {
+	for _, t := range []task{taskRoutes, taskUpstreams, taskMembers} {
+		if s.tasks[t].watchRevision == 0 {
+			s.startCall(ctx, t)
+		}
+	}
+}
+
 // subscribersPerReader bounds the mean number of subscribers per reader of a domain, and
 // thereby the updates that one reader sends. Lists of some tens of KB go to each
 // subscriber whenever they change, over links of 48 Mbit/s and more, and delay newer
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -34,6 +34,24 @@
 // modify the slice.
 func (s *State) Upstreams() []model.Registration { return s.upstreams.list }
 
+// merge returns the newest list with the changes that a watch has reported.
+func (u *upstreams) merge(changed []model.Registration, removed []string) []model.Registration {
+	if len(changed) == 0 && len(removed) == 0 {
+		return u.lastRead
+	}
+	byInstance := make(map[string]model.Registration, len(u.lastRead)+len(changed))
+	for _, registration := range u.lastRead {
+		byInstance[registration.Instance] = registration
+	}
+	for _, registration := range changed {
+		byInstance[registration.Instance] = registration
+	}
+	for _, instance := range removed {
+		delete(byInstance, instance)
+	}
+	return slices.SortedFunc(maps.Values(byInstance), func(a, b model.Registration) int { return cmp.Compare(a.Instance, b.Instance) })
+}
+
 // applyUpstreams applies a list that this node or another read from the registry at
 // readAt. A missing registration is removed, except for a while after an outage of the
 // store, in which registrations of live upstreams may have expired. It reports whether
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -88,11 +88,13 @@
 		pool = s.addPool(registration)
 		ctx.Log(effect.Info, component, "upstream found", upstreamFields(pool)...)
 	}
+	if registration != pool.registration || pool.warmUntil == 0 {
+		pool.warmUntil = ctx.Now.Add(registration.Warmup)
+	}
 	drains := registration.Upstream.Draining && !pool.registration.Upstream.Draining
 	pool.registration = registration
 	pool.replica.Domain = registration.Upstream.FailureDomain
 	pool.replica.Draining = registration.Upstream.Draining
-	pool.warmUntil = ctx.Now.Add(registration.Warmup)
 	s.updatePoolLimits(pool)
 	if drains {
 		ctx.Log(effect.Info, component, "upstream drains", upstreamFields(pool)...)
