--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -293,6 +293,7 @@
 		PeerAddress:   m.GetPeerAddress(),
 		State:         model.MemberState(m.GetState()),
 		Weight:        int(m.GetWeight()),
+		Load:          int(m.GetLoad()),
 		Revision:      model.Revision(m.GetRevision()),
 	}
 }
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -290,6 +290,7 @@
 		State:         string(m.State),
 		Revision:      uint64(m.Revision),
 		Weight:        int64(m.Weight),
+		Load:          int64(m.Load),
 	}
 }
 
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -88,9 +88,10 @@
 	memberWatchDelayPerNode = 5 * time.Millisecond
 	// renewalsPerLease is the number of renewals within LeaseTime.
 	renewalsPerLease = 3
-	// upstreamWatchDelay separates two watches of the upstreams, so that changes in quick
-	// succession arrive in one reply.
-	upstreamWatchDelay = 500 * time.Millisecond
+	// upstreamWatchShare is the delay between two watches of the upstreams as a share of
+	// PollInterval. Upstreams change their entries all the time, and the changes within
+	// the delay arrive in one reply.
+	upstreamWatchShare = 0.5
 	// bootstrapInterval is the time between two stale reads of the members, and bounds
 	// the jitter of the node's own reads at the end of the bootstrap.
 	bootstrapInterval = 400 * time.Millisecond
@@ -358,7 +359,7 @@
 		if s.tasks[t].watchRevision == 0 {
 			return s.settings.PollInterval
 		}
-		return min(upstreamWatchDelay, s.settings.PollInterval/2)
+		return time.Duration(upstreamWatchShare * float64(s.settings.PollInterval))
 	case taskLease:
 		return s.lease.time / renewalsPerLease
 	case taskMembers:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,13 +33,12 @@
 	cancel      context.CancelFunc
 }
 
-// connectionHandle passes requests to the goroutine of a connection.
+// connectionHandle holds a connection from the start of its dial to its end.
 type connectionHandle struct {
 	address string
-	// requests buffers one request, because the reducer sends only on idle
-	// connections.
-	requests chan *exchange
-	cancel   context.CancelFunc
+	// connection is nil until the dial has succeeded.
+	connection atomic.Pointer[connection]
+	cancel     context.CancelFunc
 }
 
 // NewPool returns an empty pool that submits events to the reducer. Connections use
@@ -91,7 +91,7 @@
 // Open dials an upstream. ConnectionOpened or ConnectionClosed follows.
 func (p *Pool) Open(e effect.OpenConnection) {
 	ctx, cancel := context.WithCancel(p.ctx)
-	h := &connectionHandle{address: e.Address, requests: make(chan *exchange, 1), cancel: cancel}
+	h := &connectionHandle{address: e.Address, cancel: cancel}
 	p.mu.Lock()
 	p.connections[e.Connection] = h
 	p.mu.Unlock()
@@ -163,13 +163,10 @@
 	return p.connections[id]
 }
 
-// start passes a request to the goroutine of a connection.
+// start writes a request to an open connection.
 func (p *Pool) start(h *connectionHandle, id model.ConnectionID, x *exchange) {
-	select {
-	case h.requests <- x:
-	default:
-		// The reducer never sends on a busy connection, so a full channel means that
-		// the connection has ended and its goroutine no longer receives.
+	c := h.connection.Load()
+	if c == nil || !c.start(x) {
 		p.submitAsync(event.ConnectionClosed{Connection: id, Attempt: x.attempt, Reason: "already closed"})
 	}
 }
@@ -180,43 +177,19 @@
 	go p.submit(e)
 }
 
-// run dials a connection and then writes its requests until the connection ends.
+// run dials a connection and handles its replies until it ends.
 func (p *Pool) run(ctx context.Context, id model.ConnectionID, h *connectionHandle) {
 	socket, err := p.dial(ctx, h.address)
 	if err != nil {
 		p.submit(event.ConnectionClosed{Connection: id, Refused: true, Reason: err.Error()})
 		return
 	}
-	c := &connection{id: id, submit: p.submit, socket: socket}
+	c := newConnection(id, p.submit, socket)
+	h.connection.Store(c)
 	p.submit(event.ConnectionOpened{Connection: id})
-	finished := make(chan struct{})
-	go func() {
-		defer close(finished)
-		c.read()
-	}()
-	for {
-		select {
-		case <-ctx.Done():
-			c.end(ctx.Err(), false)
-			<-finished
-			return
-		case <-finished:
-			p.reportQueued(c, h)
-			return
-		case x := <-h.requests:
-			c.start(x)
-		}
-	}
-}
-
-// reportQueued reports the end of the connection for a queued request that was never
-// written.
-func (p *Pool) reportQueued(c *connection, h *connectionHandle) {
-	select {
-	case x := <-h.requests:
-		c.start(x)
-	default:
-	}
+	stop := context.AfterFunc(ctx, func() { c.end(ctx.Err(), false) })
+	defer stop()
+	c.read()
 }
 
 // dial opens a TCP connection, with TLS if configured.
