Slack of the budgets refilled over their window; subqueries for targets of 80 ms; DRAIN after an outage

Change: the slack is refilled over the window, and a sliding window counts what was spent.

Cause 2: two of five shards have no replica in a node's domain, and their whole replies crossed between domains. Change: subqueries also for a target of 80 ms.

Change: a timer ends the time in which missing entries are kept, a watch cycle lasts one poll interval, a subscriber reads after 1.5 intervals and its first watch waits 0.1 s.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -80,6 +80,8 @@
 	// service over all nodes: a percentage of its requests plus a constant.
 	ExtraAttemptBudget model.Percent
 	ExtraAttemptSlack  float64
+	// BudgetWindow is the length of the window of that bound.
+	BudgetWindow time.Duration
 	// StopGrace is the maximum duration of a graceful shutdown, and EntryTTL how long
 	// a caller may cache the reply to an Entry query.
 	StopGrace time.Duration
--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -152,7 +152,9 @@
 		case timer.Relay:
 			s.relay.HandleTimer(ctx, due.ID)
 		case timer.Registry:
-			s.registry.HandleTimer(ctx, due.ID)
+			if changes := s.registry.HandleTimer(ctx, due.ID); changes.Upstreams {
+				s.applyRegistryChanges(ctx, changes)
+			}
 		case timer.Quarantine:
 			s.quarantine.HandleTimer(ctx, due.ID)
 		case timer.Lifecycle:
@@ -228,7 +230,7 @@
 
 // handleReconfigured applies settings that have changed while the node runs.
 func (s *State) handleReconfigured(ctx *step.Context, e event.Reconfigured) {
-	s.settings.Relay = relay.Settings{ExtraAttemptBudget: e.ExtraAttemptBudget, ExtraAttemptSlack: e.ExtraAttemptSlack}
+	s.settings.Relay = relay.Settings{ExtraAttemptBudget: e.ExtraAttemptBudget, ExtraAttemptSlack: e.ExtraAttemptSlack, BudgetWindow: e.BudgetWindow}
 	s.settings.StopGrace = e.StopGrace
 	s.settings.EntryTTL = e.EntryTTL
 	s.settings.AdoptDelay = e.AdoptDelay
--- a/internal/reducer/query/budget/budget.go
+++ b/internal/reducer/query/budget/budget.go
@@ -25,6 +25,11 @@
 	b.tokens = min(b.tokens+limits.Share.Of(1), max(limits.Burst, b.tokens))
 }
 
+// Refill adds tokens that accrue with time, up to the burst.
+func (b *Bucket) Refill(tokens float64, limits Limits) {
+	b.tokens = max(b.tokens, min(b.tokens+tokens, limits.Burst))
+}
+
 // Grant adds tokens that no first attempt earned, such as the initial tokens of a
 // new service.
 func (b *Bucket) Grant(tokens float64) { b.tokens += tokens }
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -22,9 +22,9 @@
 
 // Settings are the intervals and timeouts of the registry calls.
 type Settings struct {
-	// PollInterval is how long one watch of the upstreams waits for a change. Together
-	// with WatchMargin it bounds the delay until the node notices that the watch no
-	// longer responds, and thus that an upstream is leaving.
+	// PollInterval is the longest time between two confirmations of the upstreams while
+	// the registry responds. It bounds the delay until the node sees that an upstream is
+	// leaving.
 	PollInterval time.Duration
 	// RouteWait is how long one watch of the routes waits for a change. A watch over a
 	// dead connection is detected RouteWait plus WatchMargin after its start, so their
@@ -88,10 +88,13 @@
 	memberWatchDelayPerNode = 5 * time.Millisecond
 	// renewalsPerLease is the number of renewals within LeaseTime.
 	renewalsPerLease = 3
-	// upstreamWatchShare is the delay between two watches of the upstreams as a share of
-	// PollInterval. Upstreams change their entries all the time, and the changes within
-	// the delay arrive in one reply.
-	upstreamWatchShare = 0.5
+	// upstreamDelayShare is the delay between two watches of the upstreams as a share of
+	// PollInterval; the watch waits for the rest. Upstreams change their entries all the
+	// time, and the changes within the delay arrive in one reply.
+	upstreamDelayShare = 0.5
+	// catchUpWait is the wait of the first watch of a node that used the view of another
+	// before. A longer one would only delay the discovery that it gets no response.
+	catchUpWait = 100 * time.Millisecond
 	// bootstrapInterval is the time between two stale reads of the members, and bounds
 	// the jitter of the node's own reads at the end of the bootstrap.
 	bootstrapInterval = 400 * time.Millisecond
@@ -250,7 +253,7 @@
 	case taskRoutes:
 		return s.readOrWatch(ctx, t, effect.ReadRoutes, effect.WatchRoutes, s.settings.RouteWait), true
 	case taskUpstreams:
-		return s.readOrWatch(ctx, t, effect.ReadUpstreams, effect.WatchUpstreams, s.settings.PollInterval), true
+		return s.readOrWatch(ctx, t, effect.ReadUpstreams, effect.WatchUpstreams, s.settings.PollInterval-s.upstreamDelay()), true
 	case taskMembers:
 		return s.readOrWatch(ctx, t, effect.ReadMembers, effect.WatchMembers, s.settings.MemberWait), true
 	case taskLease:
@@ -264,6 +267,9 @@
 // watch.
 func (s *State) readOrWatch(ctx *step.Context, t task, read, watch effect.RegistryVerb, wait time.Duration) effect.CallRegistry {
 	if revision := s.tasks[t].watchRevision; revision != 0 {
+		if s.sharing.sharedUntil[t] != 0 {
+			wait = min(wait, catchUpWait)
+		}
 		return effect.CallRegistry{Verb: watch, After: revision, Wait: wait}
 	}
 	return effect.CallRegistry{Verb: read, AllowStale: s.isBootstrapping(ctx)}
@@ -276,21 +282,27 @@
 	return s.sharing.reader == "" && ctx.Now.Sub(s.startedAt) < s.settings.BootstrapTime
 }
 
-// HandleTimer starts the call that is scheduled for now.
-func (s *State) HandleTimer(ctx *step.Context, id uint64) {
+// keptUpstreamsTimer identifies the timer for the end of the time in which missing
+// registrations are kept. Smaller identifiers are those of tasks.
+const keptUpstreamsTimer = uint64(taskCount)
+
+// HandleTimer starts the call that is scheduled for now, or removes the registrations that
+// are still missing after an outage.
+func (s *State) HandleTimer(ctx *step.Context, id uint64) Changes {
 	if id >= uint64(taskCount) {
-		return
+		return Changes{Upstreams: s.dropKeptUpstreams(ctx)}
 	}
 	state := &s.tasks[id]
 	if state.nextCallAt == 0 || ctx.Now < state.nextCallAt {
-		return
+		return Changes{}
 	}
 	state.nextCallAt = 0
 	if task(id) == taskSubscribe {
 		s.handleSubscribeTimer(ctx)
-		return
+		return Changes{}
 	}
 	s.startCall(ctx, task(id))
+	return Changes{}
 }
 
 // RefreshUpstreams reads the upstreams now, even if updates from another node are
@@ -333,6 +345,7 @@
 	if state.allowStale {
 		readAt = ctx.Now.Add(-staleReadPollIntervals * s.settings.PollInterval)
 	}
+	s.sharing.sharedUntil[t] = 0
 	changes := s.applyResult(ctx, t, e, readAt)
 	state.confirmedAt = readAt
 	state.watchRevision = e.Revision
@@ -359,7 +372,7 @@
 		if s.tasks[t].watchRevision == 0 {
 			return s.settings.PollInterval
 		}
-		return time.Duration(upstreamWatchShare * float64(s.settings.PollInterval))
+		return s.upstreamDelay()
 	case taskLease:
 		return s.lease.time / renewalsPerLease
 	case taskMembers:
@@ -371,6 +384,11 @@
 	}
 }
 
+// upstreamDelay returns the delay between two watches of the upstreams.
+func (s *State) upstreamDelay() time.Duration {
+	return time.Duration(upstreamDelayShare * float64(s.settings.PollInterval))
+}
+
 // staleDelay returns the delay between a stale read and the next call. The members are
 // read again soon, since they show who the reader is, and so is everything that was not
 // there yet. The rest comes from the reader or, if there is none, from the node's own
--- a/internal/reducer/registry/registry_test.go
+++ b/internal/reducer/registry/registry_test.go
@@ -85,7 +85,7 @@
 		}
 		f.ctx.Now = max(at, f.ctx.Now)
 		due, _ := f.timers.PopDue(f.ctx.Now)
-		f.step(func() { f.state.HandleTimer(&f.ctx, due.ID) })
+		f.step(func() { f.changes = f.state.HandleTimer(&f.ctx, due.ID) })
 	}
 	f.ctx.Now = end
 }
@@ -633,3 +633,58 @@
 		t.Errorf("announcement of an entry node %+v", call)
 	}
 }
+
+// TestKeptUpstreamsAreDroppedInTime guards against an upstream whose registration was
+// removed on purpose while the node could not read the store. It must not be kept longer
+// than live upstreams need to register again, even if no call returns meanwhile.
+func TestKeptUpstreamsAreDroppedInTime(t *testing.T) {
+	f := newFixture(t, "n1")
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 5, Upstreams: registrations("u1", "u2")})
+	f.advance(DefaultPollInterval / 2)
+	f.answer(effect.WatchUpstreams, event.RegistryResult{Status: event.StoreUnknown})
+	f.advance(3 * DefaultPollInterval)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 9, Upstreams: registrations("u1")})
+	if got := f.upstreamNames(); got != "u1 u2 " {
+		t.Errorf("upstreams right after the outage: %s", got)
+	}
+	f.advance(DefaultReregisterTime + time.Millisecond)
+	if got := f.upstreamNames(); got != "u1 " {
+		t.Errorf("upstreams %v after the outage: %s", DefaultReregisterTime, got)
+	}
+}
+
+// TestSilentReaderIsNoticedInTime guards against a subscriber that sees too late that an
+// upstream leaves, because its reader and then its own first call get no response. A read
+// must be under way while a second call still fits into the upstreams' drain time, which
+// is three poll intervals.
+func TestSilentReaderIsNoticedInTime(t *testing.T) {
+	f := newFixture(t, "n2")
+	answerInitialReads(f, 1, "u1")
+	f.advance(DefaultPollInterval)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 5, Upstreams: registrations("u1")})
+	silentSince := f.ctx.Now
+	f.step(func() {
+		f.state.HandleUpdate(&f.ctx, message.RegistryUpdate{
+			RoutesVersion: 1, UpstreamsAge: 0, UpstreamsHash: hashRegistrations(registrations("u1")), RoutesAge: -1, MembersAge: -1,
+			Upstreams: registrations("u1"),
+		})
+	})
+	f.advance(time.Millisecond)
+	for f.ctx.Now.Sub(silentSince) < 3*DefaultPollInterval {
+		call, found := f.open[effect.WatchUpstreams]
+		if !found {
+			f.advance(10 * time.Millisecond)
+			continue
+		}
+		f.advance(call.Timeout)
+		f.answer(effect.WatchUpstreams, event.RegistryResult{Status: event.StoreUnknown})
+		f.advance(2 * retryInterval)
+		if _, reads := f.open[effect.ReadUpstreams]; !reads {
+			t.Error("no read after the first call had no response")
+		}
+		break
+	}
+	if left := 3*DefaultPollInterval - f.ctx.Now.Sub(silentSince); left < 0 {
+		t.Errorf("the second call started %v after the end of the drain time", -left)
+	}
+}
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -28,6 +28,9 @@
 	// firstSubscribeDelay is the delay from the node's start to its first subscription,
 	// by which the initial reads are done.
 	firstSubscribeDelay = 300 * time.Millisecond
+	// maxSharedPollIntervals is the age of shared upstreams, in poll intervals, at which a
+	// node reads for itself.
+	maxSharedPollIntervals = 1.5
 	// aggregationInterval is the time between two aggregations of the subscribers'
 	// observations. With many subscribers, an aggregation for each message would take
 	// most of the reader's time.
@@ -88,7 +91,9 @@
 	case taskRoutes:
 		return s.settings.RouteWait + WatchMargin
 	case taskUpstreams:
-		return 2 * s.settings.PollInterval
+		// A node that has to read for itself has the rest of the upstreams' drain time for
+		// a call without a response and another one.
+		return time.Duration(maxSharedPollIntervals * float64(s.settings.PollInterval))
 	case taskMembers:
 		return 2 * (s.settings.MemberWait + WatchMargin)
 	default:
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -8,6 +8,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
 )
 
 // upstreams is the view of the registered upstreams.
@@ -62,14 +63,32 @@
 	gap := time.Duration(outagePollIntervals * float64(s.settings.PollInterval))
 	if before != 0 && readAt.Sub(before) > gap {
 		u.keepMissingUntil = ctx.Now.Add(s.settings.ReregisterTime)
+		ctx.After(s.settings.ReregisterTime, timer.Registry, keptUpstreamsTimer)
 	}
 	u.lastRead = read
 	u.hash = hashRegistrations(read)
+	return u.use(ctx.Now)
+}
+
+// dropKeptUpstreams removes the registrations that are still missing after an outage. The
+// next result of the registry may come too late for that: an upstream whose registration
+// was removed on purpose stops soon after.
+func (s *State) dropKeptUpstreams(ctx *step.Context) bool {
+	if ctx.Now < s.upstreams.keepMissingUntil {
+		return false
+	}
+	return s.upstreams.use(ctx.Now)
+}
+
+// use puts the newest list in use, together with the missing registrations that are kept.
+// It reports whether the registrations in use have changed.
+func (u *upstreams) use(now model.Instant) bool {
+	read := u.lastRead
 	next := make(map[model.UpstreamID]model.Registration, len(read))
 	for _, registration := range read {
 		next[registration.Upstream.ID] = registration
 	}
-	if ctx.Now < u.keepMissingUntil {
+	if now < u.keepMissingUntil {
 		addMissing(next, u.byID)
 	}
 	if maps.Equal(next, u.byID) {
--- a/internal/reducer/relay/delegate.go
+++ b/internal/reducer/relay/delegate.go
@@ -37,7 +37,7 @@
 	// maxMarginShare is the largest share of a route's target latency that
 	// delegationMargin may take. On routes with a lower target latency the node queries
 	// each shard itself.
-	maxMarginShare = 0.05
+	maxMarginShare = 0.07
 	// maxHedgeDelayShare is the largest hedge delay, as a share of the target latency,
 	// with which parts are delegated. A longer delay means that upstreams fail or are
 	// slow, and then no time is left for the margin.
--- a/internal/reducer/relay/load_test.go
+++ b/internal/reducer/relay/load_test.go
@@ -196,3 +196,51 @@
 		t.Errorf("score %.3f without sharing, %.3f with it, want 0.95", separate.score, shared.score)
 	}
 }
+
+// runLostReplies runs a load at a low rate over ten shards, whose replicas lose two
+// fifths of their replies for eight seconds. It returns the statistics, and the largest
+// number of extra attempts at one service within the window of the budget.
+func runLostReplies(t *testing.T, window time.Duration) (f loadStats, mostExtra int) {
+	settings := Settings{ExtraAttemptBudget: 20, ExtraAttemptSlack: 60, BudgetWindow: window}
+	sim := newSimulation(t, 9, settings, 4)
+	sim.register(sim.addGatherRoute(10, 7500*time.Microsecond))
+	sim.scheduleLoad("/wide/x", 400*time.Millisecond, 30, 11*time.Second)
+	sim.advance(3 * time.Second)
+	sim.resetAnswers()
+	before := sim.arrivalsByService()
+	for _, u := range sim.upstreams {
+		u.loseShare = 0.4
+	}
+	sim.advance(9 * time.Second)
+	f = sim.stats(wideRouteTarget)
+	for service, count := range sim.arrivalsByService() {
+		mostExtra = max(mostExtra, count-before[service]-f.requests)
+	}
+	return f, mostExtra
+}
+
+// arrivalsByService returns the number of requests that have arrived at each service.
+func (sim *simulation) arrivalsByService() map[string]int {
+	counts := make(map[string]int)
+	for _, u := range sim.upstreams {
+		counts[u.service] += u.arrivals
+	}
+	return counts
+}
+
+// TestSlackLastsThroughLostReplies replays replies that are lost for seconds in a fleet
+// with few requests for each shard. The slack is then most of the budget: refilled over
+// the window it serves more requests than granted once, and stays within the bound that
+// all nodes share.
+func TestSlackLastsThroughLostReplies(t *testing.T) {
+	once, _ := runLostReplies(t, 0)
+	refilled, mostExtra := runLostReplies(t, 10*time.Second)
+	t.Logf("granted once %+v", once)
+	t.Logf("refilled %+v, at most %d extra attempts at a service", refilled, mostExtra)
+	if refilled.score <= once.score {
+		t.Errorf("score %.3f with a refilled slack, %.3f without", refilled.score, once.score)
+	}
+	if allowed := 60 + refilled.requests/5; mostExtra > allowed {
+		t.Errorf("%d extra attempts at a service in a window, %d allowed", mostExtra, allowed)
+	}
+}
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -30,7 +30,7 @@
 	for i := range r.parts {
 		p := &r.parts[i]
 		if r.origin == nil {
-			p.service.extraAttempts.Deposit(s.extraLimits())
+			s.depositFirst(ctx, p.service)
 		}
 		if p.delegation != nil {
 			continue
@@ -205,7 +205,7 @@
 		s.offer(ctx, r, index, pool, false)
 		return
 	}
-	if p.service.isOverloaded(ctx.Now) || !p.service.extraAttempts.Take() {
+	if p.service.isOverloaded(ctx.Now) || !s.takeExtra(ctx, p.service) {
 		ctx.Count(metricExtraDenied, "hedge")
 		return
 	}
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -50,6 +50,8 @@
 	// number of attempts on top of it.
 	ExtraAttemptBudget model.Percent
 	ExtraAttemptSlack  float64
+	// BudgetWindow is the length of the window. At zero the slack is granted only once.
+	BudgetWindow time.Duration
 }
 
 // SuspicionReporter reports requests that may have crashed upstreams to the other nodes.
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -175,7 +175,7 @@
 	if pool == nil {
 		return false
 	}
-	if !p.service.extraAttempts.Take() {
+	if !s.takeExtra(ctx, p.service) {
 		ctx.Count(metricExtraDenied, "retry")
 		return false
 	}
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -30,6 +30,10 @@
 	pools []*upstreamPool
 	// extraAttempts is the budget for attempts beyond the first of each request.
 	extraAttempts budget.Bucket
+	// recentAttempts counts the first and the extra attempts of this node within the
+	// budget's window. refilledAt is when the slack was last refilled.
+	recentAttempts budget.Window
+	refilledAt     model.Instant
 }
 
 // overloadedTTL is how long an upstream counts as overloaded after a report: several times
--- a/internal/reducer/relay/sharing.go
+++ b/internal/reducer/relay/sharing.go
@@ -63,6 +63,35 @@
 	}
 }
 
+// depositFirst records a first attempt at a service in its budget.
+func (s *State) depositFirst(ctx *step.Context, svc *service) {
+	svc.extraAttempts.Deposit(s.extraLimits())
+	if s.settings.BudgetWindow > 0 {
+		svc.recentAttempts.AddFirst(ctx.Now, s.settings.BudgetWindow)
+	}
+}
+
+// takeExtra takes an extra attempt at a service from its budget, and reports whether there
+// was one. The slack is refilled over the length of the window, so that it lasts through a
+// long disturbance. In a fleet with few requests for each shard it is the larger part of
+// the budget.
+func (s *State) takeExtra(ctx *step.Context, svc *service) bool {
+	window := s.settings.BudgetWindow
+	if window <= 0 {
+		return svc.extraAttempts.Take()
+	}
+	limits := s.extraLimits()
+	if svc.refilledAt != 0 {
+		svc.extraAttempts.Refill(limits.Burst*float64(ctx.Now.Sub(svc.refilledAt))/float64(window), limits)
+	}
+	svc.refilledAt = ctx.Now
+	if !svc.recentAttempts.Permits(ctx.Now, window, limits) || !svc.extraAttempts.Take() {
+		return false
+	}
+	svc.recentAttempts.AddExtra(ctx.Now, window)
+	return true
+}
+
 // SetMembers sets the serving nodes, which share the upstreams' connections and the
 // budgets, and the entry nodes among them, which callers are told to use.
 func (s *State) SetMembers(ctx *step.Context, serving, entry []model.Member) {
