relay: a busy node answers earlier by the lag of its timers

They are due at 34 ms, but with 90 parts on half a core the timer that ends the wait fires milliseconds late. Change: the 0.9 quantile of the lag is subtracted from the time of the answer, at most 15% of the target.

--- a/internal/reducer/relay/finish.go
+++ b/internal/reducer/relay/finish.go
@@ -18,6 +18,7 @@
 	if r == nil || r.wakeAt == 0 || ctx.Now < r.wakeAt {
 		return
 	}
+	s.timerLag.Observe(ctx.Now.Sub(r.wakeAt))
 	r.wakeAt = 0
 	for i := range r.parts {
 		if at := r.parts[i].hedgeAt; at != 0 && ctx.Now >= at {
--- a/internal/reducer/relay/overloaded_shards_test.go
+++ b/internal/reducer/relay/overloaded_shards_test.go
@@ -63,3 +63,25 @@
 		}
 	}
 }
+
+// TestLateTimersBringAnswersForward guards against answers that miss their target because
+// the node is busy: with 90 parts a request on half a core, the timer that ends the wait for
+// the last parts fires late. The next requests are answered earlier by as much.
+func TestLateTimersBringAnswersForward(t *testing.T) {
+	const lag = 5 * time.Millisecond
+	sim := newSimulation(t, 14, defaultSettings, 1)
+	sim.register(sim.addGatherRoute(10, time.Millisecond))
+	sim.replica("s0", 0).silent, sim.replica("s0", 1).silent, sim.replica("s0", 2).silent = true, true, true
+	sim.scheduleLoad("/wide/x", 400*time.Millisecond, 20, 3*time.Second)
+	sim.advance(4 * time.Second)
+	punctual := sim.stats(wideRouteTarget).maxElapsed
+	sim.resetAnswers()
+	for range 200 {
+		sim.nodes[0].state.timerLag.Observe(lag)
+	}
+	sim.scheduleLoad("/wide/y", 400*time.Millisecond, 20, time.Second)
+	sim.advance(2 * time.Second)
+	if late := sim.stats(wideRouteTarget).maxElapsed; late > punctual-lag*9/10 {
+		t.Errorf("answered after %v with late timers, %v before, want %v less", late, punctual, lag)
+	}
+}
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/outcome"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/query/latency"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query/replica"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
@@ -89,6 +90,8 @@
 	delegations map[uint64]*delegation
 	subqueries  map[origin]*request
 
+	// timerLag tracks how late the timers of requests fire.
+	timerLag latency.Tracker
 	// attemptsSent counts the attempts that were sent to upstreams.
 	attemptsSent   uint64
 	nextPool       uint64
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -145,7 +145,7 @@
 	if s.quarantine.Check(ctx, model.ServiceName(config.Name), r.fingerprint) == quarantine.Blocked {
 		return nil, &refusal{failure: model.Failf(model.CodeQuarantined, "this content crashes upstreams"), retryAfter: quarantineRetryAfter, route: config.Name}
 	}
-	r.setTimes()
+	r.setTimes(s.answerMargin())
 	s.addParts(r)
 	return r, nil
 }
@@ -162,8 +162,24 @@
 	return quarantine.Fingerprint(model.ServiceName(config.Name), content)
 }
 
+// timerLagQuantile is the quantile of the timers' lag that an answer allows for, and
+// answerMarginShare bounds the margin as a share of the target latency.
+const (
+	timerLagQuantile       = 0.9
+	answerMarginShare = 0.15
+)
+
+// answerMargin returns how much earlier a gathered request is answered because the node is
+// busy. With many shards on a slow host the timer that ends the wait for the last parts
+// fires milliseconds late, and the answer then misses the target by as much.
+func (s *State) answerMargin() time.Duration {
+	lag, _ := s.timerLag.Quantile(timerLagQuantile)
+	return lag
+}
+
 // setTimes sets the request's deadline and times from its route and the caller's timeout.
-func (r *request) setTimes() {
+// A gathered request is answered the margin earlier than answerShare says.
+func (r *request) setTimes(margin time.Duration) {
 	timeout := r.config.Timeout
 	if r.incoming.Timeout > 0 && (timeout == 0 || r.incoming.Timeout < timeout) {
 		timeout = r.incoming.Timeout
@@ -177,7 +193,8 @@
 	}
 	r.deadline = r.arrivedAt.Add(timeout)
 	r.offerBy = r.arrivedAt.Add(time.Duration(offerShare * float64(target)))
-	r.answerBy = r.arrivedAt.Add(time.Duration(answerShare * float64(target)))
+	margin = min(margin, time.Duration(answerMarginShare*float64(target)))
+	r.answerBy = r.arrivedAt.Add(time.Duration(answerShare*float64(target)) - margin)
 }
 
 // addParts adds one part for each service that the answer needs.
