--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -165,7 +165,7 @@
 // timerLagQuantile is the quantile of the timers' lag that an answer allows for, and
 // answerMarginShare bounds the margin as a share of the target latency.
 const (
-	timerLagQuantile       = 0.9
+	timerLagQuantile  = 0.9
 	answerMarginShare = 0.15
 )
 
