Registry: lists are ordered by revision, and a watch whose reply is cut is not current

Two faults: the times of two nodes do not order their lists, and a cut reply is not the present state.

Change: lists carry the registry revision up to which they are complete; an older one is ignored, and the next watch continues from a shared list's revision. A watch whose reply may be cut continues at once, and the age of the view stays that of the last whole reply.

TestSharedRegistryView asked for a read by the subscriber of a silent reader; it now continues the reader's list with a watch, so the test asks for the watch, its revision and its length. Registry messages are in the round-trip test; negative counts of observations were not kept.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -50,8 +50,12 @@
 type RegistryResult struct {
 	Operation model.OperationID
 	Status    StoreStatus
-	// Revision is the registry's revision at the time of the reply.
+	// Revision is the registry's revision at the time of the reply or, if the reply is
+	// Incomplete, that of its last change.
 	Revision uint64
+	// Incomplete is set if the registry may have more changes than fit into the reply to
+	// a watch.
+	Incomplete bool
 	// Routes is the routing configuration, or nil if there is none or it has not
 	// changed.
 	Routes *model.RouteTable
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -371,13 +371,17 @@
 	Routes        *model.RouteTable
 	UpstreamsHash uint64
 	UpstreamsAge  int64
+	// UpstreamsRevision is the registry revision up to which the sender's list holds all
+	// changes, zero if that is unknown. The same applies to MembersRevision.
+	UpstreamsRevision uint64
 	// Upstreams is nil if the receiver already has the list with the hash
 	// UpstreamsHash. The same applies to Members and MembersHash.
-	Upstreams   []model.Registration
-	MembersHash uint64
-	MembersAge  int64
-	Members     []model.Member
-	Suspicions  []Suspicion
+	Upstreams       []model.Registration
+	MembersHash     uint64
+	MembersAge      int64
+	MembersRevision uint64
+	Members         []model.Member
+	Suspicions      []Suspicion
 	// Observations are the upstream observations of the nodes in the sender's failure
 	// domain.
 	Observations []model.Observation
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -28,6 +28,8 @@
 	t.Run("LogEntries", roundTrip[message.LogEntries])
 	t.Run("Suspicion", roundTrip[message.Suspicion])
 	t.Run("Unblock", roundTrip[message.Unblock])
+	t.Run("RegistrySubscribe", roundTrip[message.RegistrySubscribe])
+	t.Run("RegistryUpdate", roundTrip[message.RegistryUpdate])
 	t.Run("Subquery", roundTrip[message.Subquery])
 	t.Run("SubqueryReport", roundTrip[message.SubqueryReport])
 	t.Run("SubqueryCancel", roundTrip[message.SubqueryCancel])
--- a/internal/peer/registry_update.go
+++ b/internal/peer/registry_update.go
@@ -20,6 +20,8 @@
 		MembersSum:        m.MembersHash,
 		MembersAgeNanos:   m.MembersAge,
 		Observations:      encodeObservations(m.Observations),
+		UpstreamsRevision: m.UpstreamsRevision,
+		MembersRevision:   m.MembersRevision,
 	}
 	for _, suspicion := range m.Suspicions {
 		out.Suspicions = append(out.Suspicions, encodeSuspicion(suspicion))
@@ -55,6 +57,9 @@
 		MembersHash:   m.GetMembersSum(),
 		MembersAge:    m.GetMembersAgeNanos(),
 		Observations:  decodeObservations(m.GetObservations()),
+
+		UpstreamsRevision: m.GetUpstreamsRevision(),
+		MembersRevision:   m.GetMembersRevision(),
 	}
 	for _, suspicion := range m.GetSuspicions() {
 		out.Suspicions = append(out.Suspicions, decodeSuspicion(suspicion))
@@ -82,7 +87,7 @@
 	out := make([]*peerpb.Observation, len(list))
 	for i, o := range list {
 		out[i] = &peerpb.Observation{
-			Upstream: string(o.Upstream), Answered: uint32(o.Answered), LatencyNanos: uint64(o.TotalLatency), Failed: uint32(o.Failed),
+			Upstream: string(o.Upstream), Answered: int64(o.Answered), LatencyNanos: uint64(o.TotalLatency), Failed: int64(o.Failed),
 		}
 	}
 	return out
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -146,6 +146,9 @@
 	// watchRevision is the revision from which the next watch continues. At zero the
 	// task reads before it watches again.
 	watchRevision uint64
+	// revision is the registry revision up to which the task's part of the view holds all
+	// changes, zero if that is unknown.
+	revision uint64
 	// nextCallAt is when the next call starts; zero if none is scheduled. Timers that
 	// fire earlier belong to a call that has been postponed, and are ignored.
 	nextCallAt model.Instant
@@ -341,19 +344,31 @@
 		state.failing = false
 		ctx.Log(effect.Info, component, "the registry answers again", effect.Field{Name: "task", Value: taskNames[t]})
 	}
+	if s.isSuperseded(t, e) {
+		state.watchRevision = state.revision
+		s.scheduleCall(ctx, t, s.callDelay(ctx, t))
+		return Changes{Suspicions: e.Suspicions}
+	}
 	readAt := ctx.Now
 	if state.allowStale {
 		readAt = ctx.Now.Add(-staleReadPollIntervals * s.settings.PollInterval)
 	}
 	s.sharing.sharedUntil[t] = 0
 	changes := s.applyResult(ctx, t, e, readAt)
+	state.revision = e.Revision
+	if e.Incomplete {
+		// The rest follows at once. Until then the view is not known to be current.
+		state.watchRevision = e.Revision
+		s.startCall(ctx, t)
+		return changes
+	}
 	state.confirmedAt = readAt
-	state.watchRevision = e.Revision
 	if state.allowStale {
 		// The revision of old data may be that of the store, and a watch from there would
 		// miss changes.
-		state.watchRevision = 0
+		state.revision = 0
 	}
+	state.watchRevision = state.revision
 	s.scheduleCall(ctx, t, s.callDelay(ctx, t))
 	if t == taskRoutes || t == taskUpstreams || t == taskMembers {
 		s.sharing.suspicions = changes.Suspicions
@@ -362,6 +377,16 @@
 	return changes
 }
 
+// isSuperseded reports whether a result is older than a list that another node has sent
+// during the call.
+func (s *State) isSuperseded(t task, e event.RegistryResult) bool {
+	state := &s.tasks[t]
+	if t != taskUpstreams && t != taskMembers || state.revision == 0 {
+		return false
+	}
+	return state.allowStale || e.Revision != 0 && e.Revision < state.revision
+}
+
 // callDelay returns the delay between a successful result of a task and its next call.
 func (s *State) callDelay(ctx *step.Context, t task) time.Duration {
 	if s.tasks[t].allowStale {
--- a/internal/reducer/registry/registry_test.go
+++ b/internal/reducer/registry/registry_test.go
@@ -333,8 +333,10 @@
 		t.Errorf("upstreams of the subscriber: %s", got)
 	}
 	run(2*DefaultPollInterval+100*time.Millisecond, false)
-	if _, reads := subscriber.open[effect.ReadUpstreams]; !reads {
-		t.Errorf("the subscriber does not read while the reader is silent: %v", subscriber.open)
+	// The watch continues from the reader's list and is short, so that a call without a
+	// response is noticed.
+	if call, watches := subscriber.open[effect.WatchUpstreams]; !watches || call.After != 6 || call.Wait > catchUpWait {
+		t.Errorf("the subscriber does not catch up while the reader is silent: %v", subscriber.open)
 	}
 }
 
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -261,13 +261,15 @@
 // that the subscriber lacks.
 func (s *State) sendUpdate(ctx *step.Context, host model.HostID, sub *subscriber, observations []model.Observation) {
 	m := message.RegistryUpdate{
-		RoutesAge:     s.ageOf(ctx, taskRoutes),
-		UpstreamsAge:  s.ageOf(ctx, taskUpstreams),
-		UpstreamsHash: s.upstreams.hash,
-		MembersAge:    s.ageOf(ctx, taskMembers),
-		MembersHash:   s.members.hash,
-		Suspicions:    s.sharing.suspicions,
-		Observations:  observations,
+		RoutesAge:         s.ageOf(ctx, taskRoutes),
+		UpstreamsAge:      s.ageOf(ctx, taskUpstreams),
+		UpstreamsHash:     s.upstreams.hash,
+		UpstreamsRevision: s.tasks[taskUpstreams].revision,
+		MembersAge:        s.ageOf(ctx, taskMembers),
+		MembersHash:       s.members.hash,
+		MembersRevision:   s.tasks[taskMembers].revision,
+		Suspicions:        s.sharing.suspicions,
+		Observations:      observations,
 	}
 	if s.routes != nil {
 		m.RoutesVersion = s.routes.Version
@@ -318,18 +320,18 @@
 	} else if s.routes != nil && m.RoutesVersion > s.routes.Version {
 		s.readRoutes(ctx)
 	}
-	if read, usable := resolveList(m.Upstreams, m.UpstreamsHash, s.upstreams.lastRead, s.upstreams.hash); usable {
+	if read, usable := s.resolveUpstreams(m); usable {
 		if confirmedAt, newer := s.isNewer(ctx, taskUpstreams, m.UpstreamsAge); newer {
 			changes.Upstreams = s.applyUpstreams(ctx, read, confirmedAt)
-			s.useShared(ctx, taskUpstreams, confirmedAt)
+			s.useSharedList(ctx, taskUpstreams, confirmedAt, m.UpstreamsRevision)
 		}
 	}
-	if list, usable := resolveList(m.Members, m.MembersHash, s.members.list, s.members.hash); usable {
+	if list, usable := s.resolveMembers(m); usable {
 		if confirmedAt, newer := s.isNewer(ctx, taskMembers, m.MembersAge); newer {
 			s.members.replace(list)
 			s.checkOwnAnnouncement(ctx)
 			changes.Members = m.Members != nil
-			s.useShared(ctx, taskMembers, confirmedAt)
+			s.useSharedList(ctx, taskMembers, confirmedAt, m.MembersRevision)
 		}
 	}
 	return changes
@@ -342,14 +344,22 @@
 	s.startCall(ctx, taskRoutes)
 }
 
-// resolveList returns the list that another node sent, or the node's own if the other
-// one left it out because both are equal. It reports false if the list was left out but
-// the hashes differ.
-func resolveList[T any](sent []T, hash uint64, own []T, ownHash uint64) ([]T, bool) {
-	if sent != nil {
-		return sent, true
+// resolveUpstreams returns the upstreams that another node sent, or the node's own if both
+// lists are equal. It reports false if the other list is older or was left out although
+// the lists differ.
+func (s *State) resolveUpstreams(m message.RegistryUpdate) ([]model.Registration, bool) {
+	if m.UpstreamsHash == s.upstreams.hash {
+		return s.upstreams.lastRead, true
 	}
-	return own, hash == ownHash
+	return m.Upstreams, m.Upstreams != nil && m.UpstreamsRevision >= s.tasks[taskUpstreams].revision
+}
+
+// resolveMembers is like resolveUpstreams, for the members.
+func (s *State) resolveMembers(m message.RegistryUpdate) ([]model.Member, bool) {
+	if m.MembersHash == s.members.hash {
+		return s.members.list, true
+	}
+	return m.Members, m.Members != nil && m.MembersRevision >= s.tasks[taskMembers].revision
 }
 
 // isNewer returns when the other node last confirmed a part of its view, and whether
@@ -368,6 +378,18 @@
 	}
 }
 
+// useSharedList is like useShared, for a list that holds all changes up to a revision of
+// the registry. The times of two nodes do not order their lists, since a result may wait
+// in a node's event queue: a list that is older than the own one would undo changes that
+// the next watch no longer returns.
+func (s *State) useSharedList(ctx *step.Context, t task, confirmedAt model.Instant, revision uint64) {
+	s.useShared(ctx, t, confirmedAt)
+	state := &s.tasks[t]
+	if revision >= state.revision {
+		state.revision, state.watchRevision = revision, revision
+	}
+}
+
 // checkOwnAnnouncement announces the node again if the reader does not list it.
 func (s *State) checkOwnAnnouncement(ctx *step.Context) {
 	if s.lease.member.Host == "" || s.lease.withdrawing || s.lease.id == 0 {
