--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -77,6 +77,9 @@
 	// retryInterval is the time between calls while the store fails. It is not shorter
 	// because refused calls are charged as well.
 	retryInterval = 300 * time.Millisecond
+	// maxRetryDoublings bounds the backoff of the node's announcement, at 2.4 s: a node
+	// that the store refuses for long is used by its callers without one.
+	maxRetryDoublings = 3
 	// memberWatchDelay and routeWatchDelay separate two watches, so that changes in
 	// quick succession arrive in one reply: when all nodes start together, each
 	// announcement would otherwise wake every watch.
@@ -158,7 +161,8 @@
 	confirmedAt model.Instant
 	// allowStale is true if the call in flight may return old data.
 	allowStale bool
-	failing    bool
+	// failures counts the calls that failed since the last success.
+	failures int
 }
 
 // State is the registry view of one node. It is not safe for concurrent use.
@@ -340,8 +344,8 @@
 		s.handleFailure(ctx, t, e)
 		return Changes{}
 	}
-	if state.failing {
-		state.failing = false
+	if state.failures > 0 {
+		state.failures = 0
 		ctx.Log(effect.Info, component, "the registry answers again", effect.Field{Name: "task", Value: taskNames[t]})
 	}
 	if s.isSuperseded(t, e) {
@@ -474,12 +478,21 @@
 		s.startCall(ctx, t)
 		return
 	}
-	if !state.failing {
-		state.failing = true
+	state.failures++
+	if state.failures == 1 {
 		ctx.Log(effect.Warning, component, "the registry fails",
 			effect.Field{Name: "task", Value: taskNames[t]},
 			effect.Field{Name: "age", Value: ctx.Now.Sub(state.confirmedAt).String()})
 	}
-	jitter := time.Duration(ctx.Random.Int64N(int64(retryInterval / 2)))
-	s.scheduleCall(ctx, t, retryInterval+jitter)
+	s.scheduleCall(ctx, t, s.retryDelay(ctx, t))
+}
+
+// retryDelay returns the delay between a failed call of a task and the next one. The reads
+// and watches are retried soon, because the node's view must not get old.
+func (s *State) retryDelay(ctx *step.Context, t task) time.Duration {
+	delay := retryInterval
+	if t == taskLease {
+		delay <<= min(s.tasks[t].failures-1, maxRetryDoublings)
+	}
+	return delay + time.Duration(ctx.Random.Int64N(int64(delay/2)))
 }
--- a/internal/reducer/registry/registry_test.go
+++ b/internal/reducer/registry/registry_test.go
@@ -683,3 +683,35 @@
 		t.Errorf("the second call starts %v after the reader fell silent, want it within the drain time of %v", took, 3*DefaultPollInterval)
 	}
 }
+
+// TestRefusedAnnouncement replays a store that refuses one node for ten seconds while it
+// serves the others: the node must not repeat its announcement at the rate of its reads,
+// and must be listed again soon after the end.
+func TestRefusedAnnouncement(t *testing.T) {
+	f := newFixture(t, "n1")
+	f.step(func() { f.state.Announce(&f.ctx, f.ctx.Self) })
+	f.answer(effect.Announce, event.RegistryResult{Lease: 7})
+	calls := 0
+	fail := func() {
+		for _, verb := range []effect.RegistryVerb{effect.Announce, effect.RenewLease} {
+			if _, found := f.open[verb]; found {
+				calls++
+				f.answer(verb, event.RegistryResult{Status: event.StoreRejected})
+			}
+		}
+	}
+	for range 100 {
+		f.advance(100 * time.Millisecond)
+		fail()
+	}
+	if calls > 8 {
+		t.Errorf("%d lease calls in ten seconds of refusals", calls)
+	}
+	f.advance(3600 * time.Millisecond)
+	for _, verb := range []effect.RegistryVerb{effect.Announce, effect.RenewLease} {
+		if _, found := f.open[verb]; found {
+			return
+		}
+	}
+	t.Error("no lease call within 3.6 s after the last refusal")
+}
--- a/internal/reducer/relay/delegate.go
+++ b/internal/reducer/relay/delegate.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/rendezvous"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -42,10 +40,6 @@
 	// with which parts are delegated. A longer delay means that upstreams fail or are
 	// slow, and then no time is left for the margin.
 	maxHedgeDelayShare = 0.35
-	// helperPause is how long a helper gets no subqueries after it was lost, or had not
-	// reported when hedges were due. Such a helper has failed, is cut off or is frozen,
-	// which the member list shows only later.
-	helperPause = 2 * time.Second
 )
 
 // delegation is one open subquery at another node.
@@ -63,40 +57,6 @@
 	responded bool
 }
 
-// helpersPerDomain bounds the streams that a node keeps open to each other domain.
-// Several helpers share its subqueries, so that others remain while one is paused.
-const helpersPerDomain = 3
-
-// setHelpers selects the node's helpers among the members. A new helper is sent a
-// subquery without shards, so that the streams in both directions are open when they are
-// needed.
-func (s *State) setHelpers(ctx *step.Context, members []model.Member) {
-	hosts := make(map[model.FailureDomain][]model.HostID)
-	known := make(map[model.HostID]model.Member)
-	for _, member := range members {
-		if member.FailureDomain != ctx.Self.FailureDomain && member.PeerAddress != "" {
-			hosts[member.FailureDomain] = append(hosts[member.FailureDomain], member.Host)
-			known[member.Host] = member
-		}
-	}
-	previous := s.helpers
-	s.helpers = make(map[model.FailureDomain][]model.Member)
-	for _, domain := range slices.Sorted(maps.Keys(hosts)) {
-		for _, host := range rendezvous.Top(hosts[domain], helpersPerDomain, "helper of "+string(ctx.Self.Host)) {
-			helper := known[host]
-			s.helpers[domain] = append(s.helpers[domain], helper)
-			if !slices.Contains(previous[domain], helper) {
-				ctx.Emit(effect.SendPeer{To: host, Address: helper.PeerAddress, Message: message.Subquery{Address: ctx.Self.PeerAddress}})
-			}
-		}
-	}
-	for host, until := range s.helperPausedUntil {
-		if ctx.Now >= until {
-			delete(s.helperPausedUntil, host)
-		}
-	}
-}
-
 // delegate sends the parts that would go to other failure domains to a helper in the
 // domain that can run most of them, if there are at least minDelegatedParts of them.
 func (s *State) delegate(ctx *step.Context, r *request, chosen []*upstreamPool) {
@@ -113,10 +73,10 @@
 		}
 	}
 	helper := s.selectHelper(ctx, runnable)
-	if helper.Host == "" {
+	if helper == nil {
 		return
 	}
-	s.sendSubquery(ctx, r, helper, runnable[helper.FailureDomain])
+	s.sendSubquery(ctx, r, helper.member, runnable[helper.member.FailureDomain])
 }
 
 // isDelegable reports whether a request leaves enough time for delegation.
@@ -141,32 +101,6 @@
 	return domains
 }
 
-// selectHelper returns a random helper among those whose domains can run the most parts.
-// It returns the zero Member if no domain can run enough of them.
-func (s *State) selectHelper(ctx *step.Context, runnable map[model.FailureDomain][]int) model.Member {
-	most := minDelegatedParts
-	var candidates []model.Member
-	for domain, parts := range runnable {
-		if len(parts) < most {
-			continue
-		}
-		for _, helper := range s.helpers[domain] {
-			if ctx.Now < s.helperPausedUntil[helper.Host] {
-				continue
-			}
-			if len(parts) > most {
-				most, candidates = len(parts), candidates[:0]
-			}
-			candidates = append(candidates, helper)
-		}
-	}
-	if len(candidates) == 0 {
-		return model.Member{}
-	}
-	slices.SortFunc(candidates, func(a, b model.Member) int { return cmp.Compare(a.Host, b.Host) })
-	return candidates[ctx.Random.IntN(len(candidates))]
-}
-
 // sendSubquery sends parts of a request to a helper.
 func (s *State) sendSubquery(ctx *step.Context, r *request, helper model.Member, parts []int) {
 	s.nextDelegation++
@@ -206,8 +140,10 @@
 	}})
 }
 
-// HandleSubqueryReport handles a helper's report on delegated parts.
+// HandleSubqueryReport handles a helper's report on delegated parts, or its reply to a
+// greeting.
 func (s *State) HandleSubqueryReport(ctx *step.Context, from model.HostID, m message.SubqueryReport) {
+	s.markResponsive(from)
 	d := s.delegations[m.Number]
 	if d == nil || d.helper != from || d.request.incoming.ID != m.RequestID || !d.accepts(m) {
 		return
@@ -287,31 +223,16 @@
 	}
 }
 
-// pauseLateHelper pauses a helper that has not reported by the time the hedge of one of
-// its parts is due.
-func (s *State) pauseLateHelper(ctx *step.Context, d *delegation) {
-	if d == nil || d.responded || ctx.Now < s.helperPausedUntil[d.helper] {
-		return
-	}
-	ctx.Count(metricLateDelegations, "")
-	ctx.Log(effect.Warning, component, "helper is late",
-		effect.Field{Name: "host", Value: string(d.helper)}, effect.Field{Name: "request", Value: d.request.incoming.ID})
-	s.helperPausedUntil[d.helper] = ctx.Now.Add(helperPause)
-}
-
 // HandlePeerLost handles the end of a stream to or from another node: the parts that were
 // delegated to it are retried at upstreams immediately.
 func (s *State) HandlePeerLost(ctx *step.Context, host model.HostID) {
+	s.loseHelper(ctx, host)
 	var lost []*delegation
 	for _, d := range s.delegations {
 		if d.helper == host {
 			lost = append(lost, d)
 		}
 	}
-	if len(lost) == 0 {
-		return
-	}
-	s.helperPausedUntil[host] = ctx.Now.Add(helperPause)
 	slices.SortFunc(lost, func(a, b *delegation) int { return cmp.Compare(a.number, b.number) })
 	for _, d := range lost {
 		delete(s.delegations, d.number)
--- a/internal/reducer/relay/delegate_test.go
+++ b/internal/reducer/relay/delegate_test.go
@@ -39,6 +39,8 @@
 			n.state.HandleUpstreams(ctx, sim.wideRegistrations(shards))
 		})
 	}
+	// The helpers reply to their greetings.
+	sim.advance(2*oneWay + time.Millisecond)
 	return sim
 }
 
@@ -252,3 +254,40 @@
 	}
 	checkGathered(t, c, 24, 5)
 }
+
+// TestUnresponsiveHelpers replays the start of a fleet after a loss of power: the nodes of
+// the other domains are listed, but the streams to them do not open yet. Parts must not be
+// delegated to them, and must be once they reply.
+func TestUnresponsiveHelpers(t *testing.T) {
+	sim := newSimulation(t, 9, defaultSettings, 8)
+	for i, n := range sim.nodes {
+		n.ctx.Self.FailureDomain = wideDomains[i%len(wideDomains)]
+		n.ctx.Self.PeerAddress = string(n.ctx.Self.Host)
+		n.frozen = i > 0
+	}
+	table := sim.addGatherRoute(24, 5*time.Millisecond)
+	table.Routes[0].TargetLatency = wideTarget
+	n := sim.nodes[0]
+	n.step(func(ctx *step.Context) {
+		n.state.Start(ctx)
+		n.state.HandleRoutes(ctx, table)
+		n.state.HandleUpstreams(ctx, sim.wideRegistrations(24))
+	})
+	sim.setMembers()
+	c := sim.sendRequest(n, "/wide/first", 400*time.Millisecond)
+	if got := len(n.state.delegations); got != 0 {
+		t.Errorf("%d subqueries were sent to helpers that had not replied", got)
+	}
+	sim.advance(100 * time.Millisecond)
+	if c.answer.Outcome != model.Answered || c.answer.Gathered.Missing != 0 {
+		t.Errorf("got %+v after %v", c.answer, c.elapsed)
+	}
+	for _, other := range sim.nodes {
+		other.frozen = false
+	}
+	sim.advance(2 * greetingInterval)
+	sim.sendRequest(n, "/wide/later", 400*time.Millisecond)
+	if got := len(n.state.delegations); got != 1 {
+		t.Errorf("%d subqueries after the helpers have replied, want 1", got)
+	}
+}
--- a/internal/reducer/relay/describe.go
+++ b/internal/reducer/relay/describe.go
@@ -35,8 +35,8 @@
 type HelperDescription struct {
 	Host          model.HostID        `json:"host"`
 	FailureDomain model.FailureDomain `json:"failure_domain"`
-	// Paused is true while the helper gets no subqueries, because it was lost or did not
-	// report in time.
+	// Paused is true while the helper gets no subqueries, because it was lost, did not
+	// report in time, or has not replied to a greeting yet.
 	Paused bool `json:"rests"`
 }
 
@@ -73,10 +73,8 @@
 		Requests: len(s.requests), Attempts: len(s.attempts), Connections: len(s.connections),
 		Delegations: len(s.delegations), Subqueries: len(s.subqueries),
 	}
-	for domain, helpers := range s.helpers {
-		for _, helper := range helpers {
-			d.Helpers = append(d.Helpers, HelperDescription{Host: helper.Host, FailureDomain: domain, Paused: now < s.helperPausedUntil[helper.Host]})
-		}
+	for host, h := range s.helpers {
+		d.Helpers = append(d.Helpers, HelperDescription{Host: host, FailureDomain: h.member.FailureDomain, Paused: !h.isUsable(now)})
 	}
 	slices.SortFunc(d.Helpers, func(a, b HelperDescription) int { return cmp.Compare(a.Host, b.Host) })
 	for _, found := range s.routes {
--- a/internal/reducer/relay/entry_nodes_test.go
+++ b/internal/reducer/relay/entry_nodes_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,3 +105,61 @@
 		t.Errorf("a node without others has %d connections, want 30", got)
 	}
 }
+
+// startWithLostReplies returns a simulation of a large fleet in which one node learns the
+// upstreams before it learns whether callers use it, as after a loss of power. The first
+// replica of each shard loses its replies.
+func startWithLostReplies(t *testing.T, isEntry bool) (*simulation, *node) {
+	settings := Settings{ExtraAttemptBudget: 20, ExtraAttemptSlack: 630, BudgetWindow: 10 * time.Second}
+	sim := newSimulation(t, 21, settings, 118)
+	n := sim.nodes[0]
+	members := make([]model.Member, len(sim.nodes))
+	for i, other := range sim.nodes {
+		members[i] = other.ctx.Self
+	}
+	entry := members[1:16]
+	n.step(func(ctx *step.Context) { n.state.SetMembers(ctx, members, entry) })
+	sim.nodes = sim.nodes[:1]
+	sim.register(sim.addGatherRoute(10, time.Millisecond))
+	if isEntry {
+		entry = members[:15]
+		n.step(func(ctx *step.Context) { n.state.SetMembers(ctx, members, entry) })
+	}
+	for shard := range 10 {
+		sim.replica(fmt.Sprintf("s%d", shard), 0).loseShare = 1
+	}
+	return sim, n
+}
+
+// TestSlackOfNodeThatHasJustStarted guards against an entry node that is granted the
+// initial slack of another node, because it learns the upstreams first: it could not retry
+// or hedge for the first seconds after a loss of power.
+func TestSlackOfNodeThatHasJustStarted(t *testing.T) {
+	sim, n := startWithLostReplies(t, true)
+	c := sim.sendRequest(n, "/wide/x", 400*time.Millisecond)
+	sim.advance(400 * time.Millisecond)
+	if c.answer.Outcome != model.Answered || c.answer.Gathered.Missing != 0 {
+		t.Errorf("got %+v after %v", c.answer, c.elapsed)
+	}
+}
+
+// TestEarnedExtraAttemptsInLargeFleet guards against nodes whose share of the slack is
+// below one attempt: with callers that hold an earlier entry reply they must still be able
+// to use the extra attempts that their own requests earn.
+func TestEarnedExtraAttemptsInLargeFleet(t *testing.T) {
+	_, n := startWithLostReplies(t, false)
+	svc := n.state.ensureService("s0")
+	taken := 0
+	const requests = 100
+	n.step(func(ctx *step.Context) {
+		for range requests {
+			n.state.depositFirst(ctx, svc)
+			if n.state.takeExtra(ctx, svc) {
+				taken++
+			}
+		}
+	})
+	if limit := n.state.extraLimits(); float64(taken) > limit.Share.Of(requests)+limit.Burst || taken < requests/10 {
+		t.Errorf("%d extra attempts for %d requests, want a share of %v", taken, requests, limit.Share)
+	}
+}
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -68,11 +68,8 @@
 	replicas          *replica.Table
 	sharing           sharing
 	startedAt         model.Instant
-	// helpers are the nodes of other failure domains that may run subqueries, by domain.
-	// helperPausedUntil is the time until which a helper gets no subqueries, because it
-	// was lost or did not report in time.
-	helpers           map[model.FailureDomain][]model.Member
-	helperPausedUntil map[model.HostID]model.Instant
+	// helpers are the nodes of other failure domains that may run subqueries.
+	helpers map[model.HostID]*helper
 
 	table    *model.RouteTable
 	routes   map[string]*route
@@ -118,7 +115,6 @@
 		requests:          make(map[uint64]*request),
 		calls:             make(map[model.CallID]*request),
 		attempts:          make(map[uint64]*attempt),
-		helperPausedUntil: make(map[model.HostID]model.Instant),
 		delegations:       make(map[uint64]*delegation),
 		subqueries:        make(map[origin]*request),
 	}
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -30,6 +30,8 @@
 	pools []*upstreamPool
 	// extraAttempts is the budget for attempts beyond the first of each request.
 	extraAttempts budget.Bucket
+	// slackGranted is true once the initial slack was granted.
+	slackGranted bool
 	// recentAttempts counts the first and the extra attempts of this node within the
 	// budget's window. refilledAt is when the slack was last refilled.
 	recentAttempts budget.Window
@@ -73,7 +75,6 @@
 	found := s.services[name]
 	if found == nil {
 		found = &service{name: name}
-		found.extraAttempts.Grant(s.extraLimits().Burst * initialSlackShare)
 		s.services[name] = found
 	}
 	return found
--- a/internal/reducer/relay/sharing.go
+++ b/internal/reducer/relay/sharing.go
@@ -63,9 +63,28 @@
 	}
 }
 
+// bucketLimits returns the limits of a service's bucket. A bucket holds at least one token:
+// in a large fleet the share of the slack is smaller, and the tokens that first attempts
+// earn would never add up to an extra attempt.
+func (s *State) bucketLimits() budget.Limits {
+	limits := s.extraLimits()
+	limits.Burst = max(1, limits.Burst)
+	return limits
+}
+
+// grantInitialSlack grants a service's initial slack when the service is first used: only
+// then does a node that has just started know its share of the slack.
+func (s *State) grantInitialSlack(svc *service) {
+	if !svc.slackGranted {
+		svc.slackGranted = true
+		svc.extraAttempts.Grant(s.extraLimits().Burst * initialSlackShare)
+	}
+}
+
 // depositFirst records a first attempt at a service in its budget.
 func (s *State) depositFirst(ctx *step.Context, svc *service) {
-	svc.extraAttempts.Deposit(s.extraLimits())
+	s.grantInitialSlack(svc)
+	svc.extraAttempts.Deposit(s.bucketLimits())
 	if s.settings.BudgetWindow > 0 {
 		svc.recentAttempts.AddFirst(ctx.Now, s.settings.BudgetWindow)
 	}
@@ -76,13 +95,14 @@
 // long disturbance. In a fleet with few requests for each shard it is the larger part of
 // the budget.
 func (s *State) takeExtra(ctx *step.Context, svc *service) bool {
+	s.grantInitialSlack(svc)
 	window := s.settings.BudgetWindow
 	if window <= 0 {
 		return svc.extraAttempts.Take()
 	}
 	limits := s.extraLimits()
 	if svc.refilledAt != 0 {
-		svc.extraAttempts.Refill(limits.Burst*float64(ctx.Now.Sub(svc.refilledAt))/float64(window), limits)
+		svc.extraAttempts.Refill(limits.Burst*float64(ctx.Now.Sub(svc.refilledAt))/float64(window), s.bucketLimits())
 	}
 	svc.refilledAt = ctx.Now
 	if !svc.recentAttempts.Permits(ctx.Now, window, limits) || !svc.extraAttempts.Take() {
@@ -97,8 +117,8 @@
 func (s *State) SetMembers(ctx *step.Context, serving, entry []model.Member) {
 	next := newSharing()
 	if len(entry) > 0 {
-		s.setHelpers(ctx, entry)
 		next = sharing{entryNodes: len(entry), otherNodes: len(serving) - len(entry), isEntry: containsHost(entry, ctx.Self.Host)}
+		s.updateHelpers(ctx, entry, next.isEntry)
 	}
 	if next == s.sharing {
 		return
@@ -111,6 +131,15 @@
 		countField("entry_nodes", next.entryNodes), countField("other_nodes", next.otherNodes))
 }
 
+// updateHelpers selects the helpers of an entry node. Other nodes get too few requests to
+// be worth the streams to helpers.
+func (s *State) updateHelpers(ctx *step.Context, entry []model.Member, isEntry bool) {
+	if !isEntry {
+		entry = nil
+	}
+	s.setHelpers(ctx, entry)
+}
+
 // containsHost reports whether a host is among the members.
 func containsHost(members []model.Member, host model.HostID) bool {
 	return slices.ContainsFunc(members, func(member model.Member) bool { return member.Host == host })
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -65,10 +65,14 @@
 // HandleUpstreams adds, updates and removes upstream pools to match the registrations.
 func (s *State) HandleUpstreams(ctx *step.Context, registrations []model.Registration) {
 	wanted := make(map[model.UpstreamID]bool, len(registrations))
+	var found []*upstreamPool
 	for _, registration := range registrations {
 		wanted[registration.Upstream.ID] = true
-		s.updateRegistration(ctx, registration)
+		if pool := s.updateRegistration(ctx, registration); pool != nil {
+			found = append(found, pool)
+		}
 	}
+	logFound(ctx, found)
 	for id, pool := range s.pools {
 		if !wanted[id] {
 			s.removePool(ctx, pool, "removed from the registry")
@@ -76,9 +80,24 @@
 	}
 }
 
+// maxLoggedUpstreams bounds the lines about new upstreams after one change.
+const maxLoggedUpstreams = 16
+
+// logFound logs the upstreams that have been added. The first list of a large deployment
+// is logged in one line, which leaves the rate limit to the lines about requests.
+func logFound(ctx *step.Context, found []*upstreamPool) {
+	if len(found) > maxLoggedUpstreams {
+		ctx.Log(effect.Info, component, "upstreams found", countField("count", len(found)))
+		return
+	}
+	for _, pool := range found {
+		ctx.Log(effect.Info, component, "upstream found", upstreamFields(pool)...)
+	}
+}
+
 // updateRegistration adds or updates the pool of a registered upstream. An upstream that
-// has restarted or has another address gets a new pool.
-func (s *State) updateRegistration(ctx *step.Context, registration model.Registration) {
+// has restarted or has another address gets a new pool. It returns the pool if it is new.
+func (s *State) updateRegistration(ctx *step.Context, registration model.Registration) (added *upstreamPool) {
 	pool := s.pools[registration.Upstream.ID]
 	if pool != nil && (pool.registration.Incarnation != registration.Incarnation || pool.registration.Upstream.Address != registration.Upstream.Address) {
 		s.removePool(ctx, pool, "restarted or changed its address")
@@ -86,7 +105,7 @@
 	}
 	if pool == nil {
 		pool = s.addPool(registration)
-		ctx.Log(effect.Info, component, "upstream found", upstreamFields(pool)...)
+		added = pool
 	}
 	if registration != pool.registration || pool.warmUntil == 0 {
 		pool.warmUntil = ctx.Now.Add(registration.Warmup)
@@ -101,6 +120,7 @@
 		s.reassignWaiting(ctx, pool)
 		s.closeUnusedConnections(ctx, pool)
 	}
+	return added
 }
 
 // addPool adds an upstream pool, in the order of upstream IDs within its service.
--- a/internal/reducer/relay/warm.go
+++ b/internal/reducer/relay/warm.go
@@ -22,6 +22,9 @@
 	// warmIdleInterval is the time between two rounds while every upstream has a
 	// connection.
 	warmIdleInterval = 500 * time.Millisecond
+	// warmStartTime is how long after its start a node looks at each warmInterval whether it
+	// can open connections: callers may come as soon as it knows the upstreams.
+	warmStartTime = 2 * time.Second
 	// aloneDelay is how long a node that knows no others waits after its start before it
 	// takes all callers to be its own.
 	aloneDelay = 2 * time.Second
@@ -30,13 +33,17 @@
 // Start starts the rounds that open connections ahead of requests.
 func (s *State) Start(ctx *step.Context) {
 	s.startedAt = ctx.Now
-	setTimer(ctx, warmIdleInterval, 0, warmTimer)
+	setTimer(ctx, warmInterval, 0, warmTimer)
 }
 
-// handleWarmTimer opens connections to upstreams that have none and schedules the next
-// round.
+// handleWarmTimer opens connections to upstreams that have none, greets helpers and
+// schedules the next round.
 func (s *State) handleWarmTimer(ctx *step.Context) {
+	s.greetHelpers(ctx)
 	next := warmIdleInterval
+	if len(s.connections) == 0 && ctx.Now.Sub(s.startedAt) < warmStartTime {
+		next = warmInterval
+	}
 	alone := s.sharing.entryNodes+s.sharing.otherNodes == 1 && ctx.Now.Sub(s.startedAt) < aloneDelay
 	if s.sharing.isEntry && !alone && s.warmPools(ctx) == maxWarmConnects {
 		next = warmInterval
