relay: requests that wait for a connection move to another upstream; unacknowledged writes end after 0.7 s

And an open connection to a silent host ended 2 s after a write, later than the time of a request of 1.5 s, so that the next requests went the same way and callers waited to their deadline.

Change: the part of a request of which nothing was sent is moved after half of the time left to offer it. TCP_USER_TIMEOUT is 0.7 s.

--- a/internal/reducer/relay/load_test.go
+++ b/internal/reducer/relay/load_test.go
@@ -244,3 +244,23 @@
 		t.Errorf("%d extra attempts at a service in a window, %d allowed", mostExtra, allowed)
 	}
 }
+
+// TestUnreachableUpstreamOfSingleRequests replays an upstream that has fallen silent while
+// nodes have no connections to it: requests that wait for a connection must move to another
+// upstream in time, so that they are neither refused nor late.
+func TestUnreachableUpstreamOfSingleRequests(t *testing.T) {
+	const target = 250 * time.Millisecond
+	sim := newSimulation(t, 17, defaultSettings, 12)
+	sim.addService("press", 3, 3, 20*time.Millisecond)
+	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{{
+		Name: "press", Host: "h", Prefix: "/press/", Service: "press", MaxAttempts: 2, Timeout: 1500 * time.Millisecond, TargetLatency: target,
+	}}})
+	sim.replica("press", 0).silent = true
+	sim.scheduleLoad("/press/x", 1500*time.Millisecond, 24, 3*time.Second)
+	sim.advance(5 * time.Second)
+	f := sim.stats(target)
+	t.Logf("%+v", f)
+	if f.onTime != f.requests {
+		t.Errorf("%d of %d requests were answered in time, %d were refused", f.onTime, f.requests, f.notRun)
+	}
+}
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -42,9 +42,25 @@
 		}
 		p.hedgeAt = ctx.Now.Add(s.hedgeDelay(r))
 		s.offer(ctx, r, i, chosen[i], false)
+		s.scheduleMove(ctx, r, p)
 	}
 }
 
+// moveShare is the share of the time left to offer a request after which an attempt that
+// was not sent moves to another upstream.
+const moveShare = 0.5
+
+// scheduleMove brings the hedge of a part forward if nothing of its request was sent yet,
+// because the pool has no connection and the upstream may be unreachable. Without that the
+// request would be refused at offerBy although other upstreams are free.
+func (s *State) scheduleMove(ctx *step.Context, r *request, p *part) {
+	if r.anySent || p.hedgeAt == 0 || ctx.Now >= r.offerBy || p.unsentAttempt() == nil {
+		return
+	}
+	wait := time.Duration(moveShare * float64(r.offerBy.Sub(ctx.Now)))
+	p.hedgeAt = min(p.hedgeAt, ctx.Now.Add(max(minHedgeDelay, wait)))
+}
+
 // selectPool returns the upstream pool for an attempt of a part, or nil if none can take
 // it in time.
 func (s *State) selectPool(ctx *step.Context, r *request, p *part, criteria replica.Criteria) *upstreamPool {
@@ -203,6 +219,7 @@
 	if waiting != nil {
 		s.cancelOffer(waiting)
 		s.offer(ctx, r, index, pool, false)
+		s.scheduleMove(ctx, r, p)
 		return
 	}
 	if p.service.isOverloaded(ctx.Now) || !s.takeExtra(ctx, p.service) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -212,9 +212,9 @@
 }
 
 // tcpUserTimeout is how long written bytes may stay unacknowledged before the connection
-// is closed, for example because of a network partition. It is longer than the first
-// retransmissions of a lost packet take.
-const tcpUserTimeout = 2 * time.Second
+// is closed, for example because the upstream's host is down. The first two
+// retransmissions of a lost packet take 600 ms.
+const tcpUserTimeout = 700 * time.Millisecond
 
 // setTCPUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects. It is the
 // Control function of the dialer.
