Upstreams: a limit on all large replies together; dials end after 0.8 s

And a dial to a silent host took 2 s to fail, in which its pool counts as usable and gets attempts.

Dials end after 0.8 s, before the first retransmission of a SYN; the next dial follows with the backoff of the pool.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -25,8 +25,9 @@
 
 // Limits of a connection.
 const (
-	// dialTimeout bounds the time to open a connection, including the TLS handshake.
-	dialTimeout = 2 * time.Second
+	// dialTimeout bounds the time to open a connection, including the TLS handshake. It is
+	// shorter than the retransmission of a lost SYN, in whose place the next dial comes.
+	dialTimeout = 800 * time.Millisecond
 	// maxReplyBytes bounds the size of a reply body.
 	maxReplyBytes = 4 << 20
 	// maxHeadBytes bounds the size of a reply's status line and headers.
@@ -88,6 +89,8 @@
 	// raw gives access to the socket for writes that do not block. It is nil for
 	// connections with TLS.
 	raw syscall.RawConn
+	// memory is shared by all connections of the pool.
+	memory *replyMemory
 
 	mu sync.Mutex
 	// pending is the exchange whose reply is outstanding, or nil.
@@ -100,8 +103,8 @@
 }
 
 // newConnection returns a connection over an open socket.
-func newConnection(id model.ConnectionID, submit func(event.Event), socket net.Conn) *connection {
-	c := &connection{id: id, submit: submit, socket: socket}
+func newConnection(id model.ConnectionID, submit func(event.Event), socket net.Conn, memory *replyMemory) *connection {
+	c := &connection{id: id, submit: submit, socket: socket, memory: memory}
 	if tcp, ok := socket.(*net.TCPConn); ok {
 		// Without access to the socket, requests are written in a goroutine.
 		c.raw, _ = tcp.SyscallConn()
@@ -194,7 +197,8 @@
 
 // read handles replies until the connection ends.
 func (c *connection) read() {
-	limited := &limitedReader{source: c.socket}
+	limited := &limitedReader{source: c.socket, memory: c.memory}
+	defer limited.release()
 	reader := bufio.NewReaderSize(limited, replyBufferBytes)
 	for {
 		limited.allow(maxHeadBytes)
@@ -249,29 +253,6 @@
 	return nil
 }
 
-// limitedReader reads from a connection until a limit that its user sets anew for each part
-// of a reply. An upstream in trouble may send bytes without end, and net/http buffers the
-// whole head of a reply.
-type limitedReader struct {
-	source io.Reader
-	// left is the number of bytes up to the limit, and limit the limit of the current
-	// part.
-	left, limit int
-}
-
-// allow sets the limit for the next part of a reply.
-func (r *limitedReader) allow(limit int) { r.left, r.limit = limit, limit }
-
-// Read implements io.Reader. It returns *ReplyTooLargeError at the limit.
-func (r *limitedReader) Read(buffer []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, &ReplyTooLargeError{Limit: r.limit}
-	}
-	n, err := r.source.Read(buffer[:min(len(buffer), r.left)])
-	r.left -= n
-	return n, err
-}
-
 // readBody reads the body of a reply. It returns *ReplyTooLargeError if the body exceeds
 // maxReplyBytes.
 func readBody(response *http.Response) ([]byte, error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,6 +25,7 @@
 	submit func(event.Event)
 	tls    *tls.Config
 	codec  Codec
+	memory replyMemory
 
 	mu          sync.Mutex
 	connections map[model.ConnectionID]*connectionHandle
@@ -184,7 +185,7 @@
 		p.submit(event.ConnectionClosed{Connection: id, Refused: true, Reason: err.Error()})
 		return
 	}
-	c := newConnection(id, p.submit, socket)
+	c := newConnection(id, p.submit, socket, &p.memory)
 	h.connection.Store(c)
 	p.submit(event.ConnectionOpened{Connection: id})
 	stop := context.AfterFunc(ctx, func() { c.end(ctx.Err(), false) })
