--- a/internal/reducer/relay/relay_test.go
+++ b/internal/reducer/relay/relay_test.go
@@ -198,6 +198,18 @@
 	}
 }
 
+// TestUpstreamsNotKnownYet replays the start of a node that has read the routes but not the
+// upstreams. Callers must be told to return within the milliseconds that the read takes, and
+// not within the time that an overloaded service would need.
+func TestUpstreamsNotKnownYet(t *testing.T) {
+	sim := newSimulation(t, 14, defaultSettings, 1)
+	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 1)}})
+	c := sim.sendRequest(sim.nodes[0], "/one/x", time.Second)
+	if c.answer.Outcome != model.NotRun || c.answer.Failure.Code != model.CodeUnavailable || c.answer.RetryAfter != startRetryAfter {
+		t.Errorf("got %+v", c.answer)
+	}
+}
+
 // TestCallerGone checks that upstreams soon stop working for a caller that has gone,
 // because the connections of its attempts are closed.
 func TestCallerGone(t *testing.T) {
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -112,18 +112,21 @@
 	answerShare = 0.85
 )
 
-// noRoutesRetryAfter is the retry time while the node has no routes yet: reading the
-// registry takes a few milliseconds.
-const noRoutesRetryAfter = 50 * time.Millisecond
+// startRetryAfter is the retry time while the node knows no routes or no upstreams yet:
+// reading the registry takes a few milliseconds.
+const startRetryAfter = 50 * time.Millisecond
 
 // quarantineRetryAfter is the retry time for content that crashes upstreams.
 const quarantineRetryAfter = 10 * time.Second
 
-// prepare returns a new request for its route, or a refusal if the node has no routes, no
-// route matches, the body is too large, or the content is blocked.
+// prepare returns a new request for its route, or a refusal if the node has no routes or no
+// upstreams yet, no route matches, the body is too large, or the content is blocked.
 func (s *State) prepare(ctx *step.Context, e event.Forward) (*request, *refusal) {
 	if s.table == nil {
-		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the routes yet"), retryAfter: noRoutesRetryAfter}
+		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the routes yet"), retryAfter: startRetryAfter}
+	}
+	if s.nextPool == 0 {
+		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the upstreams yet"), retryAfter: startRetryAfter}
 	}
 	if limit := s.table.Limits.BodyBytes; limit > 0 && len(e.Request.Body) > limit {
 		return nil, &refusal{failure: model.Failf(model.CodeTooLarge, "the body is over %d bytes", limit)}
