relay: gathered requests are answered by the round trip to the caller and the time it has spent

Cause: answers left at 0.85 of the target latency, whatever the way to the caller. Where the caller is near, 0.85 left time unused in which parts still arrive.

Change: the answer leaves at 0.91 of the target, less the round trip of the caller's connection (TCP_INFO), less what its timeout lacks of the largest one that callers of the route sent lately, less the lag of the timers; each share bounded.

TestCallersThatConnectAnew and TestTimeToAnswer fail without it.

--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -111,6 +111,8 @@
 	Body   []byte
 	// Timeout is how long the caller waits; zero means that the caller set none.
 	Timeout time.Duration
+	// RoundTrip is the round-trip time of the caller's connection; zero if unknown.
+	RoundTrip time.Duration
 }
 
 // ForwardedReply is an upstream's complete reply, which is returned to the caller
--- a/internal/reducer/relay/load_test.go
+++ b/internal/reducer/relay/load_test.go
@@ -264,3 +264,49 @@
 		t.Errorf("%d of %d requests were answered in time, %d were refused", f.onTime, f.requests, f.notRun)
 	}
 }
+
+// TestCallersThatConnectAnew replays callers of which some open a connection before they send
+// their request, and have spent 15 ms of their time by then. One shard is out of slots, so
+// that requests are answered without it: early enough that the answer is in time for these
+// callers too.
+func TestCallersThatConnectAnew(t *testing.T) {
+	const budget, spent = 400 * time.Millisecond, 15 * time.Millisecond
+	sim := newSimulation(t, 18, defaultSettings, 1)
+	sim.register(sim.addGatherRoute(10, 2*time.Millisecond))
+	n := sim.nodes[0]
+	sim.sendRequest(n, "/wide/first", budget)
+	sim.advance(time.Second)
+	for i := range 3 {
+		sim.replica("s0", i).serviceTime = time.Second
+	}
+	kept, anew := sim.sendRequest(n, "/wide/kept", budget), sim.sendRequest(n, "/wide/anew", budget-spent)
+	returned := sim.sendRequest(n, "/wide/returned", budget/2)
+	sim.advance(time.Second)
+	due := timeToAnswer(wideRouteTarget, 0, 0, 0)
+	for _, c := range []struct {
+		*call
+		due time.Duration
+	}{{kept, due}, {anew, due - spent}, {returned, due}} {
+		if c.answer.Outcome != model.Answered || c.elapsed != c.due {
+			t.Errorf("%s was answered after %v, want %v", c.id, c.elapsed, c.due)
+		}
+	}
+}
+
+// TestTimeToAnswer checks that an answer leaves early enough for its way to the caller, also
+// if the caller is far away or the node is busy, and never at once.
+func TestTimeToAnswer(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct{ target, roundTrip, spent, lag, min, max time.Duration }{
+		{60 * ms, 6 * ms, 0, 0, 45 * ms, 54 * ms},
+		{60 * ms, 6 * ms, 15 * ms, 2 * ms, 25 * ms, 37 * ms},
+		{60 * ms, 9 * ms, 0, 0, 42 * ms, 51 * ms},
+		{40 * ms, 2 * ms, 0, 0, 30 * ms, 38 * ms},
+		{40 * ms, 200 * ms, 0, 100 * ms, 15 * ms, 28 * ms},
+		{80 * ms, 0, 300 * ms, 0, 64 * ms, 76 * ms},
+	} {
+		if got := timeToAnswer(c.target, c.roundTrip, c.spent, c.lag); got < c.min || got > c.max {
+			t.Errorf("%+v: got %v", c, got)
+		}
+	}
+}
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -104,13 +104,9 @@
 	abandoned bool
 }
 
-// Times of a request, as shares of its route's target latency.
-const (
-	// offerShare leaves a refused caller time to retry elsewhere.
-	offerShare = 0.25
-	// answerShare leaves the remaining time for the transfer of the answer to the caller.
-	answerShare = 0.85
-)
+// offerShare is the share of its route's target latency after which a request that was not
+// offered is refused. It leaves the caller time to retry elsewhere.
+const offerShare = 0.25
 
 // startRetryAfter is the retry time while the node knows no routes or no upstreams yet:
 // reading the registry takes a few milliseconds.
@@ -148,7 +144,7 @@
 	if s.quarantine.Check(ctx, model.ServiceName(config.Name), r.fingerprint) == quarantine.Blocked {
 		return nil, &refusal{failure: model.Failf(model.CodeQuarantined, "this content crashes upstreams"), retryAfter: quarantineRetryAfter, route: config.Name}
 	}
-	r.setTimes(s.answerMargin())
+	r.setTimes(matched.budget.spent(ctx.Now, e.Request.Timeout), s.lag())
 	s.addParts(r)
 	return r, nil
 }
@@ -165,24 +161,10 @@
 	return quarantine.Fingerprint(model.ServiceName(config.Name), content)
 }
 
-// timerLagQuantile is the quantile of the timers' lag that an answer allows for, and
-// answerMarginShare bounds the margin as a share of the target latency.
-const (
-	timerLagQuantile  = 0.9
-	answerMarginShare = 0.15
-)
-
-// answerMargin returns how much earlier a gathered request is answered because the node is
-// busy. With many shards on a slow host the timer that ends the wait for the last parts
-// fires milliseconds late, and the answer then misses the target by as much.
-func (s *State) answerMargin() time.Duration {
-	lag, _ := s.timerLag.Quantile(timerLagQuantile)
-	return lag
-}
-
 // setTimes sets the request's deadline and times from its route and the caller's timeout.
-// A gathered request is answered the margin earlier than answerShare says.
-func (r *request) setTimes(margin time.Duration) {
+// spent is the time that the caller has spent on the request, and lag that by which the
+// node's timers fire late.
+func (r *request) setTimes(spent, lag time.Duration) {
 	timeout := r.config.Timeout
 	if r.incoming.Timeout > 0 && (timeout == 0 || r.incoming.Timeout < timeout) {
 		timeout = r.incoming.Timeout
@@ -196,8 +178,7 @@
 	}
 	r.deadline = r.arrivedAt.Add(timeout)
 	r.offerBy = r.arrivedAt.Add(time.Duration(offerShare * float64(target)))
-	margin = min(margin, time.Duration(answerMarginShare*float64(target)))
-	r.answerBy = r.arrivedAt.Add(time.Duration(answerShare*float64(target)) - margin)
+	r.answerBy = r.arrivedAt.Add(timeToAnswer(target, r.incoming.RoundTrip, spent, lag))
 }
 
 // addParts adds one part for each service that the answer needs.
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -18,6 +18,7 @@
 	config *model.Route
 	// latency tracks the reply times of upstreams to the route's requests.
 	latency latency.Tracker
+	budget  callerBudget
 	// credit holds the state of the smooth weighted round robin over the services of a
 	// split.
 	credit map[model.ServiceName]float64
