relay: a node that waits for the registry tells callers to return after the outage so far

Change: the retry time is the length of the outage so far, at least 50 ms and at most 2 s, with a random delay. Ruled out: reading the store more often (the answers come within 0.3 s of its return, and refused calls are charged), and asking other nodes, which know nothing either.

--- a/internal/reducer/relay/load_test.go
+++ b/internal/reducer/relay/load_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -310,3 +311,38 @@
 		}
 	}
 }
+
+// TestRegistryAwayAtStart replays a fleet that starts after a loss of power while the registry
+// does not respond. Callers retry once, and honour a retry time of up to a third of their
+// timeout. Those of the second half of the outage must find a node that serves, and not spend
+// their retry on one that still starts.
+func TestRegistryAwayAtStart(t *testing.T) {
+	const outage, timeout, callers = 1200 * time.Millisecond, 10 * time.Second, 120
+	sim := newSimulation(t, 19, defaultSettings, 2)
+	sim.addService("single", 3, 3, 10*time.Millisecond)
+	route := singleRoute(true, 2)
+	route.Timeout = timeout
+	served := 0
+	send := func(i int) *call { return sim.sendRequest(sim.nodes[i%2], "/one/"+strconv.Itoa(i), timeout) }
+	for i := range callers {
+		sim.schedule(time.Duration(i)*outage/callers, func() {
+			refused := send(i)
+			if refused.answer.Outcome != model.NotRun {
+				t.Errorf("%s got %+v before the registry responds", refused.id, refused.answer)
+			}
+			sim.schedule(min(refused.answer.RetryAfter, timeout/3), func() {
+				retried := send(i + 1)
+				sim.schedule(time.Second, func() {
+					if retried.answer.Outcome == model.Answered {
+						served++
+					}
+				})
+			})
+		})
+	}
+	sim.schedule(outage, func() { sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{route}}) })
+	sim.advance(2*outage + 2*time.Second)
+	if served < callers/2 {
+		t.Errorf("%d of %d callers were served", served, callers)
+	}
+}
--- a/internal/reducer/relay/relay_test.go
+++ b/internal/reducer/relay/relay_test.go
@@ -205,7 +205,7 @@
 	sim := newSimulation(t, 14, defaultSettings, 1)
 	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 1)}})
 	c := sim.sendRequest(sim.nodes[0], "/one/x", time.Second)
-	if c.answer.Outcome != model.NotRun || c.answer.Failure.Code != model.CodeUnavailable || c.answer.RetryAfter != startRetryAfter {
+	if c.answer.Outcome != model.NotRun || c.answer.Failure.Code != model.CodeUnavailable || c.answer.RetryAfter != minStartRetryAfter {
 		t.Errorf("got %+v", c.answer)
 	}
 }
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -108,9 +108,26 @@
 // offered is refused. It leaves the caller time to retry elsewhere.
 const offerShare = 0.25
 
-// startRetryAfter is the retry time while the node knows no routes or no upstreams yet:
-// reading the registry takes a few milliseconds.
-const startRetryAfter = 50 * time.Millisecond
+// Limits of the retry time while the node knows no routes or no upstreams yet.
+const (
+	// minStartRetryAfter is the time in which a registry that responds is read.
+	minStartRetryAfter = 50 * time.Millisecond
+	// maxStartRetryAfter bounds the wait for a registry that does not respond: other nodes
+	// may serve the caller, and its entry reply names them by then.
+	maxStartRetryAfter = 2 * time.Second
+	// startRetrySpread is the range of the random delay as a share of the outage so far.
+	startRetrySpread = 0.5
+)
+
+// startRetryAfter returns when the caller of a request should return that the node refuses
+// because it is starting. An outage of the registry of which nothing is known but its length
+// so far probably lasts as long again. Callers that return earlier would only be refused
+// again, and most of them retry once.
+func (s *State) startRetryAfter(ctx *step.Context) time.Duration {
+	outage := min(ctx.Now.Sub(s.startedAt), maxStartRetryAfter)
+	spread := time.Duration(startRetrySpread * float64(outage))
+	return max(minStartRetryAfter, outage+time.Duration(ctx.Random.Int64N(max(1, int64(spread)))))
+}
 
 // quarantineRetryAfter is the retry time for content that crashes upstreams.
 const quarantineRetryAfter = 10 * time.Second
@@ -119,10 +136,10 @@
 // upstreams yet, no route matches, the body is too large, or the content is blocked.
 func (s *State) prepare(ctx *step.Context, e event.Forward) (*request, *refusal) {
 	if s.table == nil {
-		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the routes yet"), retryAfter: startRetryAfter}
+		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the routes yet"), retryAfter: s.startRetryAfter(ctx)}
 	}
 	if s.nextPool == 0 {
-		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the upstreams yet"), retryAfter: startRetryAfter}
+		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the upstreams yet"), retryAfter: s.startRetryAfter(ctx)}
 	}
 	if limit := s.table.Limits.BodyBytes; limit > 0 && len(e.Request.Body) > limit {
 		return nil, &refusal{failure: model.Failf(model.CodeTooLarge, "the body is over %d bytes", limit)}
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -147,6 +147,7 @@
 	for range nodes {
 		n := &node{sim: sim, connections: make(map[model.ConnectionID]*simConnection)}
 		n.state = New(settings, quarantine.New(), n)
+		n.state.startedAt = sim.now
 		n.ctx = step.Context{
 			Random: rand.New(rand.NewPCG(seed, uint64(len(sim.nodes)))),
 			View:   emptyView{},
