relay: the budget of extra attempts goes to required retries first; requests say why they were not retried

By the new field not_retried 1,102 parts were not retried for want of budget (430 had no other upstream). Tokens went to hedges and to the first refused part of a request, which the answer could lack, and were missing for the second one, with which the request failed.

The budget has its own file now.

--- a/internal/reducer/query/budget/budget.go
+++ b/internal/reducer/query/budget/budget.go
@@ -35,8 +35,11 @@
 func (b *Bucket) Grant(tokens float64) { b.tokens += tokens }
 
 // Take takes one token and reports whether there was one.
-func (b *Bucket) Take() bool {
-	if b.tokens < 1 {
+func (b *Bucket) Take() bool { return b.TakeAbove(0) }
+
+// TakeAbove takes one token if the reserve is left afterwards, and reports whether it did.
+func (b *Bucket) TakeAbove(reserve float64) bool {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/internal/reducer/query/budget/window.go
+++ b/internal/reducer/query/budget/window.go
@@ -53,14 +53,14 @@
 	w.slot().extras++
 }
 
-// Permits reports whether another extra attempt stays within the limits: the share of the
-// first attempts in the window plus the burst.
-func (w *Window) Permits(now model.Instant, length time.Duration, limits Limits) bool {
+// Left returns the number of extra attempts that the limits still permit: the share of the
+// first attempts in the window plus the burst, less the extra attempts in the window.
+func (w *Window) Left(now model.Instant, length time.Duration, limits Limits) float64 {
 	w.advance(now, length)
 	firsts, extras := 0.0, 0.0
 	for _, slot := range w.slots {
 		firsts += float64(slot.firsts)
 		extras += float64(slot.extras)
 	}
-	return extras+1 <= limits.Share.Of(firsts)+limits.Burst
+	return limits.Share.Of(firsts) + limits.Burst - extras
 }
--- a/internal/reducer/query/budget/window_test.go
+++ b/internal/reducer/query/budget/window_test.go
@@ -25,7 +25,7 @@
 				firsts = append(firsts, now)
 				continue
 			}
-			if !w.Permits(now, length, limits) {
+			if w.Left(now, length, limits) < 1 {
 				continue
 			}
 			w.AddExtra(now, length)
@@ -57,13 +57,13 @@
 	limits := Limits{Burst: 3}
 	var w Window
 	now := model.Instant(1000 * time.Second)
-	for w.Permits(now, length, limits) {
+	for w.Left(now, length, limits) >= 1 {
 		w.AddExtra(now, length)
 	}
-	if w.Permits(now.Add(length-time.Second), length, limits) {
+	if w.Left(now.Add(length-time.Second), length, limits) >= 1 {
 		t.Error("the burst is available again within the window")
 	}
-	if !w.Permits(now.Add(length+2*time.Second), length, limits) {
+	if w.Left(now.Add(length+2*time.Second), length, limits) < 1 {
 		t.Error("the burst is not available after the window")
 	}
 }
--- a/internal/reducer/relay/delegate.go
+++ b/internal/reducer/relay/delegate.go
@@ -220,6 +220,7 @@
 	if p.state == partOpen && p.openAttempts == 0 && !s.retry(ctx, r, index, status) {
 		r.failureCode = model.CodeUnavailable
 		r.settle(p, partFailed)
+		s.reopenPart(ctx, r)
 	}
 }
 
--- a/internal/reducer/relay/entry_nodes_test.go
+++ b/internal/reducer/relay/entry_nodes_test.go
@@ -154,7 +154,7 @@
 	n.step(func(ctx *step.Context) {
 		for range requests {
 			n.state.depositFirst(ctx, svc)
-			if n.state.takeExtra(ctx, svc) {
+			if n.state.takeExtra(ctx, svc, false) {
 				taken++
 			}
 		}
--- a/internal/reducer/relay/finish.go
+++ b/internal/reducer/relay/finish.go
@@ -213,6 +213,9 @@
 				effect.Field{Name: "retry_after", Value: answer.RetryAfter.String()})
 		}
 	}
+	if r.retryDenial != "" {
+		fields = append(fields, effect.Field{Name: "not_retried", Value: string(r.retryDenial)})
+	}
 	if severity != effect.Info || r.answered < len(r.parts) {
 		fields = append(fields, effect.Field{Name: "attempts", Value: r.describeAttempts(ctx.Now)})
 	}
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -222,7 +222,7 @@
 		s.scheduleMove(ctx, r, p)
 		return
 	}
-	if p.service.isOverloaded(ctx.Now) || !s.takeExtra(ctx, p.service) {
+	if p.service.isOverloaded(ctx.Now) || !s.takeExtra(ctx, p.service, false) {
 		ctx.Count(metricExtraDenied, "hedge")
 		return
 	}
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -47,6 +47,8 @@
 	mergedRecords [][]byte
 	// failureCode is the code of the latest failure.
 	failureCode model.Code
+	// retryDenial is the reason why a part was last not retried; empty if none was denied.
+	retryDenial retryDenial
 	// anySent is true once any part was sent to an upstream or a helper.
 	anySent bool
 	// hadLostAttempt is true once the connection of an attempt ended without a reply.
@@ -77,6 +79,9 @@
 	// reply is the successful reply, or the latest signed failure of an upstream. The
 	// records of a delegated part are in the request's mergedRecords instead.
 	reply *model.ForwardedReply
+	// awaitsBudget means that the part failed only because the budget did not permit a
+	// retry.
+	awaitsBudget bool
 	// delegation is the open subquery that includes the part, or nil.
 	delegation *delegation
 	// reported is true once a report of the subquery has included the part.
--- a/internal/reducer/relay/routes.go
+++ b/internal/reducer/relay/routes.go
@@ -60,17 +60,6 @@
 	return 2*overloaded > usable
 }
 
-// initialSlackShare is the fraction of its share of the slack that a node gets when it
-// starts. It is below one because the initial slack of restarted nodes adds up.
-const initialSlackShare = 0.5
-
-// The fractions of the shared budget that the nodes use. The rest is a safety margin: for
-// seconds after a membership change, the nodes disagree on their number.
-const (
-	usedBudgetShare = 0.85
-	usedSlackShare  = 0.7
-)
-
 // ensureService returns the service with a name, and adds it if it does not exist.
 func (s *State) ensureService(name model.ServiceName) *service {
 	found := s.services[name]
--- a/internal/reducer/relay/sharing.go
+++ b/internal/reducer/relay/sharing.go
@@ -5,7 +5,6 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
-	"github.com/hawthorntack/hawthorntack/internal/reducer/query/budget"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -55,63 +54,6 @@
 	}
 }
 
-// extraLimits returns this node's share of a service's budget.
-func (s *State) extraLimits() budget.Limits {
-	return budget.Limits{
-		Share: s.settings.ExtraAttemptBudget * usedBudgetShare,
-		Burst: s.settings.ExtraAttemptSlack * usedSlackShare * s.sharing.slackShare(),
-	}
-}
-
-// bucketLimits returns the limits of a service's bucket. A bucket holds at least one token:
-// in a large fleet the share of the slack is smaller, and the tokens that first attempts
-// earn would never add up to an extra attempt.
-func (s *State) bucketLimits() budget.Limits {
-	limits := s.extraLimits()
-	limits.Burst = max(1, limits.Burst)
-	return limits
-}
-
-// grantInitialSlack grants a service's initial slack when the service is first used: only
-// then does a node that has just started know its share of the slack.
-func (s *State) grantInitialSlack(svc *service) {
-	if !svc.slackGranted {
-		svc.slackGranted = true
-		svc.extraAttempts.Grant(s.extraLimits().Burst * initialSlackShare)
-	}
-}
-
-// depositFirst records a first attempt at a service in its budget.
-func (s *State) depositFirst(ctx *step.Context, svc *service) {
-	s.grantInitialSlack(svc)
-	svc.extraAttempts.Deposit(s.bucketLimits())
-	if s.settings.BudgetWindow > 0 {
-		svc.recentAttempts.AddFirst(ctx.Now, s.settings.BudgetWindow)
-	}
-}
-
-// takeExtra takes an extra attempt at a service from its budget, and reports whether there
-// was one. The slack is refilled over the length of the window, so that it lasts through a
-// long disturbance. In a fleet with few requests for each shard it is the larger part of
-// the budget.
-func (s *State) takeExtra(ctx *step.Context, svc *service) bool {
-	s.grantInitialSlack(svc)
-	window := s.settings.BudgetWindow
-	if window <= 0 {
-		return svc.extraAttempts.Take()
-	}
-	limits := s.extraLimits()
-	if svc.refilledAt != 0 {
-		svc.extraAttempts.Refill(limits.Burst*float64(ctx.Now.Sub(svc.refilledAt))/float64(window), s.bucketLimits())
-	}
-	svc.refilledAt = ctx.Now
-	if !svc.recentAttempts.Permits(ctx.Now, window, limits) || !svc.extraAttempts.Take() {
-		return false
-	}
-	svc.recentAttempts.AddExtra(ctx.Now, window)
-	return true
-}
-
 // SetMembers sets the serving nodes, which share the upstreams' connections and the
 // budgets, and the entry nodes among them, which callers are told to use.
 func (s *State) SetMembers(ctx *step.Context, serving, entry []model.Member) {
