relay: a required retry may go to an upstream that refused with free slots

Change: if no other upstream can take a required retry, one that refused the part with free slots is asked again, within the budget and the offers of a part. A part that failed because the answer could lack it is taken up again when the answer needs it, also if there was no other upstream.

--- a/internal/reducer/relay/extra_test.go
+++ b/internal/reducer/relay/extra_test.go
@@ -38,3 +38,23 @@
 		t.Errorf("%d of %d requests were answered on time", f.onTime, f.requests)
 	}
 }
+
+// TestLastUpstreamRefuses replays two shards of which one upstream each is left, which refuses
+// a third of its requests although it has free slots. An answer may lack one of ten parts, so
+// that every ninth request would fail if the last upstream was not asked again.
+func TestLastUpstreamRefuses(t *testing.T) {
+	sim := newSimulation(t, 22, scarceBudget, 4)
+	sim.register(sim.addGatherRoute(10, 2*time.Millisecond))
+	sim.stopReplicas("s0/u0", "s0/u1", "s1/u0", "s1/u1")
+	sim.replica("s0", 2).refuseShare, sim.replica("s1", 2).refuseShare = 1.0/3, 1.0/3
+	sim.scheduleLoad("/wide/x", 400*time.Millisecond, 180, 3*time.Second)
+	sim.advance(3 * time.Second)
+	sim.resetAnswers()
+	sim.scheduleLoad("/wide/y", 400*time.Millisecond, 180, 10*time.Second)
+	sim.advance(11 * time.Second)
+	f := sim.stats(wideRouteTarget)
+	t.Logf("%+v", f)
+	if f.onTime < f.requests*97/100 {
+		t.Errorf("%d of %d requests were answered on time", f.onTime, f.requests)
+	}
+}
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -79,9 +79,9 @@
 	// reply is the successful reply, or the latest signed failure of an upstream. The
 	// records of a delegated part are in the request's mergedRecords instead.
 	reply *model.ForwardedReply
-	// awaitsBudget means that the part failed only because the budget did not permit a
-	// retry.
-	awaitsBudget bool
+	// reopenable means that the part failed without a retry because the answer could lack
+	// it.
+	reopenable bool
 	// delegation is the open subquery that includes the part, or nil.
 	delegation *delegation
 	// reported is true once a report of the subquery has included the part.
@@ -102,6 +102,8 @@
 	sentAt  model.Instant
 	hedge   bool
 	settled bool
+	// refusedIdle means that the upstream refused the attempt although it had free slots.
+	refusedIdle bool
 	// knownSuspect means that the content was already suspected of a crash when the
 	// attempt was sent.
 	knownSuspect bool
