Leftovers: limit of failed sign-ins with many sources, order of versions, dropped suspicions are logged

A caller that fails from 1,024 addresses cleared the limits of all sources, its own included; versions more than half of the number range apart were ordered by an overflowing subtraction; a suspicion beyond the 64 pending ones vanished without a line.

Change: the least limited source makes room; cmp.Compare; a log line.

TestLimitSurvivesManySources, TestDroppedSuspicionIsLogged and a case of TestPinChoosesNewestVersionOfGreatestCoverage fail without it.

--- a/internal/auth/verifier.go
+++ b/internal/auth/verifier.go
@@ -198,18 +198,24 @@
 }
 
 // evictSources makes room for another source once maxSources is reached. It removes the
-// sources whose attempts are all available again; if there are none, it removes all sources.
+// sources whose attempts are all available again; if there are none, it removes the one with
+// the most attempts left, so that a caller with many addresses cannot lift its own limit.
 func (v *Verifier) evictSources(now time.Time) {
 	if len(v.failureLimiters) < maxSources {
 		return
 	}
+	leastLimited, mostLeft := "", -1.0
 	for source, limiter := range v.failureLimiters {
-		if limiter.TokensAt(now) >= failureBurst {
+		left := limiter.TokensAt(now)
+		if left >= failureBurst {
 			delete(v.failureLimiters, source)
 		}
+		if left > mostLeft {
+			leastLimited, mostLeft = source, left
+		}
 	}
 	if len(v.failureLimiters) >= maxSources {
-		clear(v.failureLimiters)
+		delete(v.failureLimiters, leastLimited)
 	}
 }
 
--- a/internal/auth/verifier_test.go
+++ b/internal/auth/verifier_test.go
@@ -143,6 +143,21 @@
 	}
 }
 
+// TestLimitSurvivesManySources guards against a caller that lifts the limit on its guesses by
+// failing from as many other addresses as the node counts.
+func TestLimitSurvivesManySources(t *testing.T) {
+	f := newFixture(t)
+	for range failureBurst {
+		f.verify("Bearer root:guess", "desk")
+	}
+	for i := range 3 * maxSources {
+		f.verifier.recordFailure(string(rune(i)))
+	}
+	if got := f.verify("Bearer root:guess", "desk"); got != "rate_limited" {
+		t.Errorf("guess over the limit: got %s, want rate_limited", got)
+	}
+}
+
 func TestCheckAddress(t *testing.T) {
 	for _, c := range []struct {
 		address   string
--- a/internal/reducer/query/restart.go
+++ b/internal/reducer/query/restart.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -18,7 +17,7 @@
 	if r.restarted || float64(r.timeLeft(ctx.Now)) < minRestartTimeShare*float64(total) {
 		return
 	}
-	pin := s.deps.Catalog.Pin(ctx, r.configs(), s.settings.Preference)
+	pin := s.deps.Catalog.Pin(ctx, r.serviceConfigs(), s.settings.Preference)
 	if pin.Version() == r.pin.Version() || pin.SearchableKeys() <= r.reachableKeys() {
 		return
 	}
@@ -31,15 +30,6 @@
 	s.scatter(ctx, r)
 }
 
-// configs returns the services of a request.
-func (r *request) configs() []*model.Service {
-	configs := make([]*model.Service, len(r.services))
-	for i := range r.services {
-		configs[i] = r.services[i].config
-	}
-	return configs
-}
-
 // reachableKeys returns the number of keys in shards that have not failed.
 func (r *request) reachableKeys() int {
 	keys := 0
--- a/internal/reducer/registry/members.go
+++ b/internal/reducer/registry/members.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
@@ -154,6 +155,10 @@
 // the registry.
 func (s *State) ReportSuspicion(ctx *step.Context, suspicion message.Suspicion) {
 	if len(s.reports) >= maxPendingReports {
+		ctx.Log(effect.Warning, component, "suspicion dropped",
+			effect.Field{Name: "service", Value: string(suspicion.Service)},
+			effect.Field{Name: "fingerprint", Value: suspicion.Fingerprint.String()},
+			effect.Field{Name: "pending", Value: strconv.Itoa(len(s.reports))})
 		return
 	}
 	s.reports = append(s.reports, suspicion)
--- a/internal/reducer/registry/registry_test.go
+++ b/internal/reducer/registry/registry_test.go
@@ -715,3 +715,23 @@
 	}
 	t.Error("no lease call within 3.6 s after the last refusal")
 }
+
+// TestDroppedSuspicionIsLogged guards against reports that vanish without a trace: while the
+// store is away, crashes pile up, and an operator has to see that not all were passed on.
+func TestDroppedSuspicionIsLogged(t *testing.T) {
+	f := newFixture(t, "n1")
+	logged := 0
+	for i := range maxPendingReports + 3 {
+		f.step(func() {
+			f.state.ReportSuspicion(&f.ctx, message.Suspicion{Service: "s", Fingerprint: model.Fingerprint(i)})
+			for _, e := range f.ctx.Effects {
+				if line, ok := e.(effect.Log); ok && line.Message == "suspicion dropped" {
+					logged++
+				}
+			}
+		})
+	}
+	if logged != 3 {
+		t.Errorf("%d lines for 3 dropped suspicions", logged)
+	}
+}
--- a/internal/reducer/relay/connection.go
+++ b/internal/reducer/relay/connection.go
@@ -32,8 +32,6 @@
 	pool    *upstreamPool
 	state   connectionState
 	attempt *attempt
-	// requestedAt is when the node started to connect.
-	requestedAt model.Instant
 	// expiresAt is when the upstream may close the idle connection, less idleMargin; zero
 	// if unknown.
 	expiresAt model.Instant
@@ -74,7 +72,7 @@
 		return
 	}
 	s.nextConnection++
-	c := &connection{id: s.nextConnection, pool: pool, state: connecting, requestedAt: ctx.Now}
+	c := &connection{id: s.nextConnection, pool: pool, state: connecting}
 	pool.connections = append(pool.connections, c)
 	s.connections[c.id] = c
 	ctx.Emit(effect.OpenConnection{Connection: c.id, Upstream: pool.registration.Upstream.ID, Address: pool.registration.Upstream.Address})
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -101,8 +101,6 @@
 	queue    []func()
 	arrivals int
 	runs     int
-	// maxOccupancy is the largest number of requests that ran or waited at once.
-	maxOccupancy int
 }
 
 // scheduledEvent is a function to run at a point in virtual time.
--- a/internal/reducer/relay/simulation_upstream_test.go
+++ b/internal/reducer/relay/simulation_upstream_test.go
@@ -28,7 +28,6 @@
 		return
 	}
 	u.queue = append(u.queue, func() { n.startRequest(e, conn) })
-	u.maxOccupancy = max(u.maxOccupancy, u.running+len(u.queue))
 	sim.startQueued(u)
 }
 
--- a/internal/reducer/snapshot/pin.go
+++ b/internal/reducer/snapshot/pin.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
@@ -135,7 +136,7 @@
 			}
 		}
 	}
-	slices.SortFunc(versions, func(a, b model.Version) int { return int(int64(b) - int64(a)) })
+	slices.SortFunc(versions, func(a, b model.Version) int { return cmp.Compare(b, a) })
 	return versions
 }
 
--- a/internal/reducer/snapshot/snapshot_test.go
+++ b/internal/reducer/snapshot/snapshot_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"testing"
@@ -90,6 +91,9 @@
 		{"more keys, not more shards", []model.IndexReport{
 			newReport(0, 1, model.Holding{Version: 1, Shards: twoShards("a", "b"), HeldShards: both[:1]}, model.Holding{Version: 2, Shards: twoShards("a", "b"), HeldShards: both[1:]}),
 		}, 2, 2},
+		{"versions more than half of the number range apart", []model.IndexReport{
+			newReport(0, 1, model.Holding{Version: 1, Shards: twoShards("a", "b"), HeldShards: both}, model.Holding{Version: math.MaxUint64, Shards: twoShards("a", "b"), HeldShards: both}),
+		}, math.MaxUint64, 2},
 		{"nothing known", nil, 0, 1},
 	}
 	for _, test := range tests {
