relay: only the node of the caller takes up a failed part again

Change: parts of subqueries are neither reopened nor do their retries use the reserve. TestRunsOfDelegatedParts fails without it ("host-4 sends the part of s11 after its report").

--- a/internal/reducer/relay/delegate_test.go
+++ b/internal/reducer/relay/delegate_test.go
@@ -291,3 +291,39 @@
 		t.Errorf("%d subqueries after the helpers have replied, want 1", got)
 	}
 }
+
+// TestRunsOfDelegatedParts guards against a helper that takes up a part again after it has
+// reported its failure: the node that sent the subquery retries the part as well, so that it
+// could run at more upstreams than the route permits. Most upstreams refuse, so that whole
+// subqueries fail.
+func TestRunsOfDelegatedParts(t *testing.T) {
+	const shards = 24
+	sim := newWideSimulation(t, 33, shards, true)
+	for _, u := range sim.upstreams {
+		u.refuseShare = 0.7
+	}
+	for _, n := range sim.nodes {
+		n.onSend = func(e effect.SendForward) {
+			shard := n.state.connections[e.Connection].pool.service.name
+			for _, r := range n.state.subqueries {
+				if r.incoming.ID == e.Request.ID && reportedPart(r, shard) {
+					t.Fatalf("%s sends the part of %s after its report", n.ctx.Self.Host, shard)
+				}
+			}
+		}
+	}
+	sim.scheduleLoad("/wide/x", 400*time.Millisecond, 50, 4*time.Second)
+	sim.advance(5 * time.Second)
+	for _, c := range sim.answers {
+		for service, runs := range c.runs {
+			if runs > 2 {
+				t.Errorf("%s ran %d times at %s, 2 are permitted", c.id, runs, service)
+			}
+		}
+	}
+}
+
+// reportedPart reports whether a subquery has already reported the part of a service.
+func reportedPart(r *request, name model.ServiceName) bool {
+	return slices.ContainsFunc(r.parts, func(p part) bool { return p.service.name == name && p.reported })
+}
--- a/internal/reducer/relay/retry.go
+++ b/internal/reducer/relay/retry.go
@@ -34,7 +34,7 @@
 // It reports whether it did so.
 func (s *State) retry(ctx *step.Context, r *request, index int, status message.DispatchStatus) bool {
 	p := &r.parts[index]
-	required := !r.isSufficient(r.answered + r.unsettled - 1)
+	required := r.origin == nil && !r.isSufficient(r.answered+r.unsettled-1)
 	pool, denial := s.selectRetryPool(ctx, r, p, status, required)
 	p.reopenable = !required && (denial == deniedBudget || denial == deniedUpstreams)
 	if denial != "" {
@@ -49,9 +49,10 @@
 
 // reopenPart retries a failed part after another one has failed without which the request
 // cannot be answered. When the first one failed, the answer could lack it, and its retry was
-// left to the requests that need one.
+// left to the requests that need one. The parts of a subquery are retried by the node that sent
+// it, which knows what its answer can lack and counts the runs of each part.
 func (s *State) reopenPart(ctx *step.Context, r *request) {
-	if r.closed || !r.isGathered() || r.isSufficient(r.answered+r.unsettled) {
+	if r.closed || r.origin != nil || !r.isGathered() || r.isSufficient(r.answered+r.unsettled) {
 		return
 	}
 	for i := range r.parts {
