registry, relay: logs and metrics that tell how a node learns of a leaving upstream

A node now logs and counts replies that state that the upstream is leaving (relay_notices_total, 'upstream says that it leaves' with what the registry says of it), entries that are older than one seen before (registry_outdated_entries_total, a line with both sequences), and hosts that begin or cease to serve in its view, with the age of the list. The dump has the ages of the lists of upstreams and nodes.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -39,6 +39,9 @@
 	Reply      *model.ForwardedReply
 	// Load is the load that the upstream reports, or nil.
 	Load *model.ReportedLoad
+	// Notice is what the upstream states about itself. It is empty in a reply of another
+	// process at the upstream's address.
+	Notice model.Notice
 	// IdleTimeout is the time after which the upstream closes the connection if it
 	// stays idle; zero means that the upstream did not report one.
 	IdleTimeout time.Duration
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -91,6 +91,16 @@
 	// Warmup is the remaining warm-up time at the time of the registration; until
 	// then the upstream is slow.
 	Warmup time.Duration `json:"warmup_nanos"`
+	// Sequence counts the entries of one incarnation. Writes to the registry may be
+	// delayed, so an entry may appear there after a later one.
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+// Notice is what an upstream states about itself in a reply.
+type Notice struct {
+	// Leaving is set if the upstream is leaving: it still replies, but must get no new
+	// requests.
+	Leaving bool
 }
 
 // ForwardRequest is a caller's request as it is forwarded to upstreams.
--- a/internal/reducer/edge/entry.go
+++ b/internal/reducer/edge/entry.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -29,12 +30,41 @@
 			effect.Field{Name: "count", Value: strconv.Itoa(len(subset))},
 			effect.Field{Name: "serving", Value: strconv.Itoa(len(serving))})
 	}
+	s.logServing(ctx, serving)
 	s.serving, s.entryNodes = serving, subset
-	isEntry := slices.ContainsFunc(subset, func(member model.Member) bool { return member.Host == s.self.Host })
+	isEntry := containsHost(subset, s.self.Host)
 	s.registry.SetEntry(ctx, isEntry && len(serving) > 1)
 	s.relay.SetMembers(ctx, serving, subset)
 }
 
+// maxLoggedHosts bounds the lines about hosts after one change.
+const maxLoggedHosts = 16
+
+// logServing logs the nodes that have begun or ceased to serve in this node's view, with the
+// age of the list that says so.
+func (s *State) logServing(ctx *step.Context, serving []model.Member) {
+	age := effect.Field{Name: "members_age", Value: s.registry.MembersAge(ctx.Now).String()}
+	left := maxLoggedHosts
+	log := func(text string, list, others []model.Member) {
+		for _, member := range list {
+			if left > 0 && !containsHost(others, member.Host) {
+				left--
+				ctx.Log(effect.Info, component, text, effect.Field{Name: "host", Value: string(member.Host)}, age)
+			}
+		}
+	}
+	log("host serves", serving, s.serving)
+	log("host no longer serves", s.serving, serving)
+}
+
+// containsHost reports whether a host is among the members, which are ordered by host.
+func containsHost(members []model.Member, host model.HostID) bool {
+	_, found := slices.BinarySearchFunc(members, host, func(member model.Member, host model.HostID) int {
+		return cmp.Compare(member.Host, host)
+	})
+	return found
+}
+
 // upstreamsByDomain returns the number of registered upstreams in each failure domain.
 func (s *State) upstreamsByDomain() map[model.FailureDomain]int {
 	counts := make(map[model.FailureDomain]int)
@@ -68,12 +98,7 @@
 	if s.self.State == model.Serving {
 		members = append(members, s.self)
 	}
-	slices.SortFunc(members, func(a, b model.Member) int {
-		if a.Host < b.Host {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(members, func(a, b model.Member) int { return cmp.Compare(a.Host, b.Host) })
 	return members
 }
 
--- a/internal/reducer/edge/lifecycle.go
+++ b/internal/reducer/edge/lifecycle.go
@@ -146,7 +146,10 @@
 	State     model.MemberState `json:"state"`
 	Version   model.Revision    `json:"version"`
 	RoutesAge string            `json:"routes_age"`
-	Members   []model.Member    `json:"members"`
+	// UpstreamsAge and MembersAge are the times since these lists were known to be current.
+	UpstreamsAge string         `json:"upstreams_age"`
+	MembersAge   string         `json:"members_age"`
+	Members      []model.Member `json:"members"`
 	// EntryHosts are the nodes that callers are told to use.
 	EntryHosts []model.HostID    `json:"entry_hosts"`
 	Relay      relay.Description `json:"relay"`
@@ -159,6 +162,8 @@
 		d.EntryHosts = append(d.EntryHosts, member.Host)
 	}
 	d.RoutesAge = s.registry.RoutesAge(ctx.Now).String()
+	d.UpstreamsAge = s.registry.UpstreamsAge(ctx.Now).String()
+	d.MembersAge = s.registry.MembersAge(ctx.Now).String()
 	if routes := s.registry.Routes(); routes != nil {
 		d.Version = routes.Version
 	}
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -225,6 +225,16 @@
 	return now.Sub(s.tasks[taskRoutes].confirmedAt)
 }
 
+// UpstreamsAge returns how long ago the upstreams were last known to be current.
+func (s *State) UpstreamsAge(now model.Instant) time.Duration {
+	return now.Sub(s.tasks[taskUpstreams].confirmedAt)
+}
+
+// MembersAge is like UpstreamsAge, for the nodes.
+func (s *State) MembersAge(now model.Instant) time.Duration {
+	return now.Sub(s.tasks[taskMembers].confirmedAt)
+}
+
 // startCall starts the next call of a task, unless one is in flight. While updates from
 // another node keep the task's part of the view current, the call is postponed.
 func (s *State) startCall(ctx *step.Context, t task) {
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -25,10 +25,12 @@
 	// keepMissingUntil is the time until which registrations that are missing after an
 	// outage are kept, zero if none are.
 	keepMissingUntil model.Instant
+	// seen holds the newest entry of each instance.
+	seen map[string]seenEntry
 }
 
 func newUpstreams() upstreams {
-	return upstreams{byID: make(map[model.UpstreamID]model.Registration)}
+	return upstreams{byID: make(map[model.UpstreamID]model.Registration), seen: make(map[string]seenEntry)}
 }
 
 // Upstreams returns the registrations in use, ordered by identifier. Callers must not
@@ -65,6 +67,7 @@
 		u.keepMissingUntil = ctx.Now.Add(s.settings.ReregisterTime)
 		ctx.After(s.settings.ReregisterTime, timer.Registry, keptUpstreamsTimer)
 	}
+	u.observeOrder(ctx, read)
 	u.lastRead = read
 	u.hash = hashRegistrations(read)
 	return u.use(ctx.Now)
@@ -86,6 +89,8 @@
 	read := u.lastRead
 	next := make(map[model.UpstreamID]model.Registration, len(read))
 	for _, registration := range read {
+		// Each heartbeat has another sequence, which is no change to the users of the list.
+		registration.Sequence = 0
 		next[registration.Upstream.ID] = registration
 	}
 	if now < u.keepMissingUntil {
--- a/internal/reducer/relay/describe.go
+++ b/internal/reducer/relay/describe.go
@@ -49,20 +49,22 @@
 
 // UpstreamDescription describes the pool of one upstream.
 type UpstreamDescription struct {
-	Upstream        model.UpstreamID `json:"upstream"`
-	Address         string           `json:"address"`
-	Usable          bool             `json:"usable"`
-	Draining        bool             `json:"draining"`
-	Misdirected     bool             `json:"misdirected"`
-	InFlight        int              `json:"in_flight"`
-	Waiting         int              `json:"waiting"`
-	OpenConnections int              `json:"open_connections"`
-	MaxConnections  int              `json:"max_connections"`
-	Limit           int              `json:"limit"`
-	LimitReason     limit.Reason     `json:"limit_reason"`
-	FailureRate     float64          `json:"failing"`
-	Latency         time.Duration    `json:"latency_nanos"`
-	ExtraTokens     float64          `json:"extra_tokens"`
+	Upstream model.UpstreamID `json:"upstream"`
+	Address  string           `json:"address"`
+	Usable   bool             `json:"usable"`
+	Draining bool             `json:"draining"`
+	// Leaving is true if the upstream's replies state that it is leaving.
+	Leaving         bool          `json:"leaving"`
+	Misdirected     bool          `json:"misdirected"`
+	InFlight        int           `json:"in_flight"`
+	Waiting         int           `json:"waiting"`
+	OpenConnections int           `json:"open_connections"`
+	MaxConnections  int           `json:"max_connections"`
+	Limit           int           `json:"limit"`
+	LimitReason     limit.Reason  `json:"limit_reason"`
+	FailureRate     float64       `json:"failing"`
+	Latency         time.Duration `json:"latency_nanos"`
+	ExtraTokens     float64       `json:"extra_tokens"`
 }
 
 // Describe returns a description of the relay with at most maxDescribedEntries routes and
@@ -100,6 +102,7 @@
 		Address:         pool.registration.Upstream.Address,
 		Usable:          pool.usable(),
 		Draining:        pool.registration.Upstream.Draining,
+		Leaving:         pool.leavingSince != 0,
 		Misdirected:     pool.misdirectedAt != 0,
 		InFlight:        len(pool.inFlight),
 		Waiting:         pool.waiting.Len(),
--- /dev/null
+++ b/internal/reducer/relay/notice.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"strconv"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
+)
+
+// An upstream states in its replies what it wants of the nodes. These notices are newer than
+// the registry, which a node may be cut off from.
+
+// The values of the label of metricNotices.
+const noticeLeaving = "leaving"
+
+// handleNotice handles what an upstream states about itself in a reply.
+func (s *State) handleNotice(ctx *step.Context, pool *upstreamPool, notice model.Notice) {
+	if notice.Leaving {
+		s.handleLeaving(ctx, pool)
+	}
+}
+
+// handleLeaving handles the notice that an upstream is leaving.
+func (s *State) handleLeaving(ctx *step.Context, pool *upstreamPool) {
+	ctx.Count(metricNotices, noticeLeaving)
+	if pool.leavingSince != 0 {
+		return
+	}
+	pool.leavingSince = ctx.Now
+	ctx.Log(effect.Info, component, "upstream says that it leaves", append(upstreamFields(pool),
+		effect.Field{Name: "registered_as_draining", Value: strconv.FormatBool(pool.registration.Upstream.Draining)},
+		effect.Field{Name: "in_registry", Value: strconv.FormatBool(!pool.removed)})...)
+}
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -41,6 +41,7 @@
 	metricCallersGone  effect.Metric = "relay_callers_gone_total"
 	metricMisdirected  effect.Metric = "relay_misdirected_total"
 	metricConnectFails effect.Metric = "relay_failed_connects_total"
+	metricNotices      effect.Metric = "relay_notices_total"
 )
 
 // Settings are the limits that apply to all nodes together.
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -24,6 +24,7 @@
 		pool.load, pool.loadAt = *e.Load, ctx.Now
 	}
 	s.recordReply(ctx, pool, a, e)
+	s.handleNotice(ctx, pool, e.Notice)
 	if a.abandoned {
 		s.finishAbandoned(a)
 	} else {
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -51,7 +51,10 @@
 	// misdirectedAt is when another upstream answered at the address; zero if that has
 	// not happened since the registration.
 	misdirectedAt model.Instant
-	crash         pendingCrash
+	// leavingSince is when a reply first stated that the upstream is leaving; zero if
+	// none has.
+	leavingSince model.Instant
+	crash        pendingCrash
 }
 
 // Limits of an upstream pool.
