--- a/internal/reducer/registry/members_test.go
+++ b/internal/reducer/registry/members_test.go
@@ -49,6 +49,43 @@
 	}
 }
 
+// entryViewBound is the time after which the users no longer accept the address of a host
+// that is off in an entry reply, for the smallest deployments.
+const entryViewBound = 7 * time.Second
+
+// TestSilentReaderStaysListed guards against a node that goes on to list the host whose updates
+// it followed after that host went off, because the last update counts as recent.
+func TestSilentReaderStaysListed(t *testing.T) {
+	f := newFixture(t, "n2")
+	answerInitialReads(f, 1, "u1")
+	f.advance(10 * time.Millisecond)
+	list := []model.Member{member("n1"), member("n2"), member("n3")}
+	f.step(func() {
+		f.state.HandleUpdate(&f.ctx, message.RegistryUpdate{
+			RoutesAge: -1, UpstreamsAge: -1, MembersHash: hashMembers(list), Members: list, MembersRevision: 6,
+		})
+	})
+	silentSince := f.ctx.Now
+	for f.ctx.Now.Sub(silentSince) < entryViewBound {
+		f.advance(50 * time.Millisecond)
+		for verb, call := range f.open {
+			switch {
+			case verb != effect.WatchMembers && verb != effect.ReadMembers:
+				f.answer(verb, event.RegistryResult{Revision: 6, Lease: 1, Upstreams: registrations("u1")})
+			case f.ctx.Now.Sub(silentSince) > DefaultLeaseTime:
+				f.answer(verb, event.RegistryResult{Revision: 8, Members: list[1:], RemovedMembers: []model.HostID{"n1"}})
+			case call.Wait < time.Second:
+				f.answer(verb, event.RegistryResult{Revision: 6})
+			}
+		}
+	}
+	for _, m := range f.state.Members() {
+		if m.Host == "n1" {
+			t.Errorf("the silent host is still listed after %v", entryViewBound)
+		}
+	}
+}
+
 // TestRefusedAnnouncement replays a store that refuses one node for ten seconds while it
 // serves the others: the node must not repeat its announcement at the rate of its reads,
 // and must be listed again soon after the end.
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -94,6 +94,8 @@
 	refuseShare float64
 	loseShare   float64
 	failShare   float64
+	// notice is stated in each reply.
+	notice model.Notice
 	// crashOn is the URI on which the upstream crashes; empty means none.
 	crashOn string
 
--- a/internal/reducer/relay/simulation_upstream_test.go
+++ b/internal/reducer/relay/simulation_upstream_test.go
@@ -87,7 +87,7 @@
 		}
 		conn.attempt, conn.request = 0, nil
 		n.step(func(ctx *step.Context) {
-			n.state.HandleReply(ctx, event.ForwardReply{Connection: e.Connection, Attempt: e.Attempt, Status: status, Reply: reply, Load: load, IdleTimeout: sim.idleTimeout})
+			n.state.HandleReply(ctx, event.ForwardReply{Connection: e.Connection, Attempt: e.Attempt, Status: status, Reply: reply, Load: load, Notice: u.notice, IdleTimeout: sim.idleTimeout})
 		})
 	})
 }
