relay: an upstream that says in its replies that it leaves gets no new requests

Cause: the registry was the only source; the notice in each reply of such an upstream was not read, so a host that is cut off from the store, or refused by it, went on for as long as the upstream served. Class: direct evidence from a peer is ignored in favour of a cached view.

A new incarnation starts anew.

--- a/internal/reducer/relay/connection.go
+++ b/internal/reducer/relay/connection.go
@@ -150,7 +150,7 @@
 
 // reconnect retries the connect to an upstream that could not be reached.
 func (s *State) reconnect(ctx *step.Context, pool *upstreamPool) {
-	if pool.connectBackoff.Failures > 0 && pool.openConnections() == 0 && !pool.registration.Upstream.Draining {
+	if pool.connectBackoff.Failures > 0 && pool.openConnections() == 0 && !pool.isLeaving() {
 		s.connect(ctx, pool)
 	}
 }
--- a/internal/reducer/relay/notice.go
+++ b/internal/reducer/relay/notice.go
@@ -14,15 +14,15 @@
 // The values of the label of metricNotices.
 const noticeLeaving = "leaving"
 
-// handleNotice handles what an upstream states about itself in a reply.
-func (s *State) handleNotice(ctx *step.Context, pool *upstreamPool, notice model.Notice) {
+// recordNotice records what an upstream states about itself in a reply.
+func (s *State) recordNotice(ctx *step.Context, pool *upstreamPool, notice model.Notice) {
 	if notice.Leaving {
-		s.handleLeaving(ctx, pool)
+		s.recordLeaving(ctx, pool)
 	}
 }
 
-// handleLeaving handles the notice that an upstream is leaving.
-func (s *State) handleLeaving(ctx *step.Context, pool *upstreamPool) {
+// recordLeaving records the notice that an upstream is leaving.
+func (s *State) recordLeaving(ctx *step.Context, pool *upstreamPool) {
 	ctx.Count(metricNotices, noticeLeaving)
 	if pool.leavingSince != 0 {
 		return
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -24,12 +24,16 @@
 		pool.load, pool.loadAt = *e.Load, ctx.Now
 	}
 	s.recordReply(ctx, pool, a, e)
-	s.handleNotice(ctx, pool, e.Notice)
+	wasLeaving := pool.isLeaving()
+	s.recordNotice(ctx, pool, e.Notice)
 	if a.abandoned {
 		s.finishAbandoned(a)
 	} else {
 		s.settleByReply(ctx, a, e)
 	}
+	if pool.isLeaving() && !wasLeaving {
+		s.stopUsing(ctx, pool)
+	}
 	s.drainQueue(ctx, pool)
 }
 
@@ -49,7 +53,7 @@
 	if e.IdleTimeout > 0 {
 		c.expiresAt = ctx.Now.Add(max(0, e.IdleTimeout-idleMargin))
 	}
-	if c.pool.removed || c.pool.registration.Upstream.Draining {
+	if c.pool.removed || c.pool.isLeaving() {
 		s.closeConnection(ctx, c)
 	}
 }
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -118,16 +118,21 @@
 	drains := registration.Upstream.Draining && !pool.registration.Upstream.Draining
 	pool.registration = registration
 	pool.replica.Domain = registration.Upstream.FailureDomain
-	pool.replica.Draining = registration.Upstream.Draining
 	s.updatePoolLimits(pool)
 	if drains {
 		ctx.Log(effect.Info, component, "upstream drains", upstreamFields(pool)...)
-		s.reassignWaiting(ctx, pool)
-		s.closeUnusedConnections(ctx, pool)
+		s.stopUsing(ctx, pool)
 	}
 	return added
 }
 
+// stopUsing moves the waiting attempts of an upstream that is leaving or was removed to other
+// upstreams, and closes the connections that carry none.
+func (s *State) stopUsing(ctx *step.Context, pool *upstreamPool) {
+	s.reassignWaiting(ctx, pool)
+	s.closeUnusedConnections(ctx, pool)
+}
+
 // addPool adds an upstream pool, in the order of upstream IDs within its service.
 func (s *State) addPool(registration model.Registration) *upstreamPool {
 	s.nextPool++
@@ -168,8 +173,7 @@
 	delete(s.pools, pool.registration.Upstream.ID)
 	pool.service.pools = slices.DeleteFunc(pool.service.pools, func(other *upstreamPool) bool { return other == pool })
 	s.replicas.Remove(pool.registration.Upstream.ID)
-	s.reassignWaiting(ctx, pool)
-	s.closeUnusedConnections(ctx, pool)
+	s.stopUsing(ctx, pool)
 	s.deletePoolIfUnused(pool)
 }
 
@@ -183,12 +187,18 @@
 // usable reports whether the pool may get new attempts. After a failed connect it gets
 // none until one of the node's own connections to the upstream is open.
 func (pool *upstreamPool) usable() bool {
-	if pool.removed || pool.registration.Upstream.Draining || pool.misdirectedAt != 0 {
+	if pool.removed || pool.isLeaving() || pool.misdirectedAt != 0 {
 		return false
 	}
 	return pool.connectBackoff.Failures == 0 || pool.openConnections() > 0
 }
 
+// isLeaving reports whether the upstream is leaving, according to the registry or to its own
+// replies. A new incarnation of the upstream gets another pool.
+func (pool *upstreamPool) isLeaving() bool {
+	return pool.registration.Upstream.Draining || pool.leavingSince != 0
+}
+
 // openConnections returns the number of connections that are idle or carry a request.
 func (pool *upstreamPool) openConnections() int {
 	count := 0
