registry: a delayed heartbeat no longer brings a leaving upstream back

Cause: the view took what was written last; the store says that an unanswered write may be done seconds later, and the number with which upstreams order their entries was decoded and dropped. Class: last writer wins on data that has an order of its own. Looked for elsewhere: routes are ordered by version, members by incarnation and revision of the list.

Change: an entry older than one seen before (same start of the upstream, lower sequence) is replaced by that one, or left out if that one was removed, for 30 s. An upstream that registers again has a higher sequence or another start, and is used.

--- a/internal/reducer/registry/order.go
+++ b/internal/reducer/registry/order.go
@@ -2,48 +2,90 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
+// Upstreams number their entries, because a write that the store has not answered may be done
+// seconds later, after other writes of the same upstream. The store keeps what was written
+// last; a node keeps what was sent last.
+
 // metricOutdated counts the entries of upstreams that are older than one seen before.
 const metricOutdated effect.Metric = "registry_outdated_entries_total"
 
+// forgetRemovedAfter is how long the last entry of an instance is remembered after its removal:
+// longer than any write may be delayed.
+const forgetRemovedAfter = 30 * time.Second
+
 // seenEntry is the newest entry that the node has seen of an upstream's instance.
 type seenEntry struct {
-	incarnation uint64
-	sequence    uint64
+	registration model.Registration
+	// listedAt is when the registry was last found to list the instance. listed is false
+	// once it was found not to.
+	listedAt model.Instant
+	listed   bool
 }
 
-// isNewerThan reports whether the entry is newer than a registration of the same instance.
-// The order of upstreams that state no incarnation is not known.
-func (e seenEntry) isNewerThan(r model.Registration) bool {
-	if e.incarnation == 0 || r.Incarnation == 0 {
+// supersedes reports whether the entry is newer than a registration of the same instance. The
+// order is not known for an upstream that states no incarnation.
+func (e *seenEntry) supersedes(r model.Registration) bool {
+	own := &e.registration
+	if own.Incarnation == 0 || r.Incarnation == 0 {
 		return false
 	}
-	return r.Incarnation < e.incarnation || r.Incarnation == e.incarnation && r.Sequence < e.sequence
+	return r.Incarnation < own.Incarnation || r.Incarnation == own.Incarnation && r.Sequence < own.Sequence
 }
 
-// observeOrder records the entries that were read, and reports those that are older than one
-// seen before.
-func (u *upstreams) observeOrder(ctx *step.Context, read []model.Registration) {
+// dropOutdated returns the list without outdated entries: an instance has its newest entry
+// instead, or none if the registry was found to have removed that one.
+func (u *upstreams) dropOutdated(ctx *step.Context, read []model.Registration) []model.Registration {
+	current := make([]model.Registration, 0, len(read))
+	found := make(map[string]bool, len(read))
 	for _, r := range read {
-		if seen, found := u.seen[r.Instance]; found && seen.isNewerThan(r) {
-			logOutdated(ctx, r, seen)
+		found[r.Instance] = true
+		seen := u.seen[r.Instance]
+		switch {
+		case seen == nil:
+			u.seen[r.Instance] = &seenEntry{registration: r, listed: true, listedAt: ctx.Now}
+		case !seen.supersedes(r):
+			*seen = seenEntry{registration: r, listed: true, listedAt: ctx.Now}
+		case seen.listed:
+			logOutdated(ctx, r, &seen.registration)
+			seen.listedAt = ctx.Now
+			r = seen.registration
+		default:
+			logOutdated(ctx, r, &seen.registration)
 			continue
 		}
-		u.seen[r.Instance] = seenEntry{incarnation: r.Incarnation, sequence: r.Sequence}
+		current = append(current, r)
+	}
+	u.markRemoved(ctx.Now, found)
+	return current
+}
+
+// markRemoved marks the instances that were not found as removed, and forgets those that were
+// removed long ago.
+func (u *upstreams) markRemoved(now model.Instant, found map[string]bool) {
+	for instance, seen := range u.seen {
+		switch {
+		case found[instance]:
+		case now.Sub(seen.listedAt) > forgetRemovedAfter:
+			delete(u.seen, instance)
+		default:
+			seen.listed = false
+		}
 	}
 }
 
 // logOutdated logs and counts an entry that is older than one seen before.
-func logOutdated(ctx *step.Context, r model.Registration, seen seenEntry) {
+func logOutdated(ctx *step.Context, r model.Registration, seen *model.Registration) {
 	ctx.Count(metricOutdated, "")
 	ctx.Log(effect.Warning, component, "outdated entry of an upstream",
 		effect.Field{Name: "upstream", Value: string(r.Upstream.ID)},
 		effect.Field{Name: "draining", Value: strconv.FormatBool(r.Upstream.Draining)},
 		effect.Field{Name: "sequence", Value: strconv.FormatUint(r.Sequence, 10)},
-		effect.Field{Name: "seen_sequence", Value: strconv.FormatUint(seen.sequence, 10)})
+		effect.Field{Name: "seen_sequence", Value: strconv.FormatUint(seen.Sequence, 10)})
 }
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -26,11 +26,11 @@
 	// outage are kept, zero if none are.
 	keepMissingUntil model.Instant
 	// seen holds the newest entry of each instance.
-	seen map[string]seenEntry
+	seen map[string]*seenEntry
 }
 
 func newUpstreams() upstreams {
-	return upstreams{byID: make(map[model.UpstreamID]model.Registration), seen: make(map[string]seenEntry)}
+	return upstreams{byID: make(map[model.UpstreamID]model.Registration), seen: make(map[string]*seenEntry)}
 }
 
 // Upstreams returns the registrations in use, ordered by identifier. Callers must not
@@ -67,9 +67,8 @@
 		u.keepMissingUntil = ctx.Now.Add(s.settings.ReregisterTime)
 		ctx.After(s.settings.ReregisterTime, timer.Registry, keptUpstreamsTimer)
 	}
-	u.observeOrder(ctx, read)
-	u.lastRead = read
-	u.hash = hashRegistrations(read)
+	u.lastRead = u.dropOutdated(ctx, read)
+	u.hash = hashRegistrations(u.lastRead)
 	return u.use(ctx.Now)
 }
 
