registry: a silent reader is no longer listed for 11 s by the nodes that follow it

Cause: a node that follows a reader takes the member list of its last update for current for twice the watch of the list and its margin, 11 s, and the host that went off may be the reader itself; the users' bound for the smallest sites is 7 s. Spare nodes had leases of 8 s, the users' bound where there are spare nodes. Class: the age limit of a cached view was set without the bound of those who rely on it.

Evidence: TestSilentReaderStaysListed failed before. Change: a follower whose reader has missed two updates (2.5 s) watches the members itself; spare leases last 6 s. Renewals of spare nodes grow by a third; a renewal costs a tenth of a read.

--- a/internal/reducer/registry/members_test.go
+++ b/internal/reducer/registry/members_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -56,7 +57,14 @@
 // TestSilentReaderStaysListed guards against a node that goes on to list the host whose updates
 // it followed after that host went off, because the last update counts as recent.
 func TestSilentReaderStaysListed(t *testing.T) {
-	f := newFixture(t, "n2")
+	probe := newFixture(t, "n1")
+	answerInitialReads(probe, 1, "u1")
+	reader := probe.state.readerOf("a", "").Host
+	follower := "n1"
+	if reader == "n1" {
+		follower = "n2"
+	}
+	f := newFixture(t, follower)
 	answerInitialReads(f, 1, "u1")
 	f.advance(10 * time.Millisecond)
 	list := []model.Member{member("n1"), member("n2"), member("n3")}
@@ -65,6 +73,7 @@
 			RoutesAge: -1, UpstreamsAge: -1, MembersHash: hashMembers(list), Members: list, MembersRevision: 6,
 		})
 	})
+	others := slices.DeleteFunc(slices.Clone(list), func(m model.Member) bool { return m.Host == reader })
 	silentSince := f.ctx.Now
 	for f.ctx.Now.Sub(silentSince) < entryViewBound {
 		f.advance(50 * time.Millisecond)
@@ -73,14 +82,14 @@
 			case verb != effect.WatchMembers && verb != effect.ReadMembers:
 				f.answer(verb, event.RegistryResult{Revision: 6, Lease: 1, Upstreams: registrations("u1")})
 			case f.ctx.Now.Sub(silentSince) > DefaultLeaseTime:
-				f.answer(verb, event.RegistryResult{Revision: 8, Members: list[1:], RemovedMembers: []model.HostID{"n1"}})
+				f.answer(verb, event.RegistryResult{Revision: 8, Members: others, RemovedMembers: []model.HostID{reader}})
 			case call.Wait < time.Second:
 				f.answer(verb, event.RegistryResult{Revision: 6})
 			}
 		}
 	}
 	for _, m := range f.state.Members() {
-		if m.Host == "n1" {
+		if m.Host == reader {
 			t.Errorf("the silent host is still listed after %v", entryViewBound)
 		}
 	}
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -58,8 +58,10 @@
 	DefaultMemberWait = 5 * time.Second
 	// DefaultLeaseTime lets a lease survive two lost renewals.
 	DefaultLeaseTime = 4 * time.Second
-	// DefaultSpareLeaseTime halves the renewals of the nodes that callers do not use.
-	DefaultSpareLeaseTime = 8 * time.Second
+	// DefaultSpareLeaseTime saves a third of the renewals of the nodes that callers do not
+	// use. It leaves a second until the time of 8 s, on the platform's deployments with such
+	// nodes, after which a host that is off may no longer be named.
+	DefaultSpareLeaseTime = 6 * time.Second
 	// DefaultBootstrapTime is long enough for a fleet that starts together to announce
 	// itself and to subscribe to its readers.
 	DefaultBootstrapTime = 2400 * time.Millisecond
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -31,6 +31,9 @@
 	// maxSharedPollIntervals is the age of shared upstreams, in poll intervals, at which a
 	// node reads for itself.
 	maxSharedPollIntervals = 1.5
+	// readerSilence is how long after its last update a reader counts as silent. Two
+	// updates in reply to subscriptions are then missing.
+	readerSilence = 2*subscribeInterval + subscribeInterval/2
 	// aggregationInterval is the time between two aggregations of the subscribers'
 	// observations. With many subscribers, an aggregation for each message would take
 	// most of the reader's time.
@@ -68,6 +71,8 @@
 	// reader is the node that this one subscribes to, its own host if it is a reader,
 	// and empty if there is none.
 	reader model.HostID
+	// updatedAt is when an update last arrived, from any reader.
+	updatedAt model.Instant
 	// suspicions are the suspicions in the registry result that is being handled, to be
 	// passed on to subscribers.
 	suspicions []message.Suspicion
@@ -123,9 +128,21 @@
 	}
 	if reader.Host != "" && reader.Host != ctx.Self.Host && reader.PeerAddress != "" {
 		s.sendSubscribe(ctx, reader)
+		s.checkReader(ctx)
 	}
 }
 
+// checkReader watches the members itself while the reader is silent. It may be off, and its
+// last list then names it for much longer than the registry does.
+func (s *State) checkReader(ctx *step.Context) {
+	if ctx.Now.Sub(s.sharing.updatedAt) < readerSilence || ctx.Now >= s.sharing.sharedUntil[taskMembers] {
+		return
+	}
+	// The time is not zero, so that the first watch is short.
+	s.sharing.sharedUntil[taskMembers] = ctx.Now
+	s.startCall(ctx, taskMembers)
+}
+
 // subscribeDelay returns the delay to the next subscription, which is short until the
 // node has found a reader after its start.
 func (s *State) subscribeDelay(ctx *step.Context) time.Duration {
@@ -311,6 +328,7 @@
 // HandleUpdate applies another node's registry view. It ignores parts that are older
 // than the node's own, and never replaces routes by an older version.
 func (s *State) HandleUpdate(ctx *step.Context, m message.RegistryUpdate) Changes {
+	s.sharing.updatedAt = ctx.Now
 	changes := Changes{Suspicions: m.Suspicions, Observations: m.Observations}
 	if m.Routes != nil || s.routes != nil && m.RoutesVersion == s.routes.Version {
 		if confirmedAt, newer := s.isNewer(ctx, taskRoutes, m.RoutesAge); newer {
