edge: hosts that do not respond are not named while the store cannot tell which are off

Cause: only the end of a lease tells that a node is gone. While the store is away no lease ends in a node's view, and leases may pause, so that a host that went off in the outage was named for its length and a whole lease after it. Class: as for leaving upstreams, no use of direct evidence while a cached view is old.

Evidence: TestEntryNamesHostLostDuringOutage and TestEntryNamesHostWhoseLeasePaused failed before. Change: while the member list is unconfirmed, and for the longest lease and a second after, nodes greet the entry nodes each second; one that leaves four greetings unanswered is no longer named, and shares nothing, until it answers. A node that hears from nobody, neither from the store, takes its own connection for the cause. A node that is stopping does not return greetings.

--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/guidance"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/liveness"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/registry"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/relay"
@@ -51,6 +52,7 @@
 	lifecycle  lifecycle
 	guidance   *guidance.State
 	loadMeter  guidance.Meter
+	liveness   *liveness.State
 	// serving and entryNodes are the nodes that the relay was told of last.
 	serving    []model.Member
 	entryNodes []model.Member
@@ -72,6 +74,7 @@
 		registry:     registry.New(settings.Registry),
 		quarantine:   quarantine.New(),
 		guidance:     guidance.New(),
+		liveness:     liveness.New(),
 		randomSource: rand.NewPCG(0, 0),
 	}
 	s.self.State = model.Starting
@@ -165,6 +168,7 @@
 
 // handleMessage handles a message from another node.
 func (s *State) handleMessage(ctx *step.Context, e event.PeerMessage) {
+	s.liveness.Heard(e.From)
 	switch m := e.Message.(type) {
 	case message.RegistrySubscribe:
 		s.registry.HandleSubscribe(ctx, e.From, m)
@@ -172,6 +176,10 @@
 	case message.RegistryUpdate:
 		s.applyRegistryChanges(ctx, s.registry.HandleUpdate(ctx, m))
 	case message.Subquery:
+		if len(m.Services) == 0 && s.self.State == model.Leaving {
+			// The others stop naming this node sooner if it does not return greetings.
+			return
+		}
 		s.relay.HandleSubquery(ctx, e.From, m)
 	case message.SubqueryReport:
 		s.relay.HandleSubqueryReport(ctx, e.From, m)
--- a/internal/reducer/edge/entry.go
+++ b/internal/reducer/edge/entry.go
@@ -74,7 +74,8 @@
 	return counts
 }
 
-// reportLoad measures the node's load and announces it if it has changed.
+// reportLoad measures the node's load and announces it if it has changed. It also checks
+// which nodes respond.
 func (s *State) reportLoad(ctx *step.Context) {
 	ctx.After(loadInterval, timer.Lifecycle, loadTimer)
 	load := s.loadMeter.Observe(ctx.Now, s.relay.AttemptsSent(), s.settings.AttemptCapacity)
@@ -83,15 +84,32 @@
 		ctx.Self = s.self
 		s.registry.Announce(ctx, s.self)
 	}
+	s.checkLiveness(ctx)
 	s.updateEntryNodes(ctx)
 }
 
+// checkLiveness greets the nodes that callers are told to use, and those that are down, while
+// the registry cannot tell which nodes are off.
+func (s *State) checkLiveness(ctx *step.Context) {
+	if !s.registry.MembersDoubtful(ctx.Now) {
+		s.liveness.Stop()
+		return
+	}
+	var greeted []model.Member
+	for _, member := range s.registry.Members() {
+		if s.liveness.IsDown(member.Host) || containsHost(s.entryNodes, member.Host) {
+			greeted = append(greeted, member)
+		}
+	}
+	s.liveness.Greet(ctx, greeted, s.registry.RespondsToMembers(ctx.Now))
+}
+
 // servingMembers returns the nodes that can serve callers, including this one while it
 // serves, ordered by host.
 func (s *State) servingMembers() []model.Member {
 	var members []model.Member
 	for _, member := range s.registry.Members() {
-		if member.Host != s.self.Host && member.State == model.Serving {
+		if member.Host != s.self.Host && member.State == model.Serving && !s.liveness.IsDown(member.Host) {
 			members = append(members, member)
 		}
 	}
--- a/internal/reducer/registry/members.go
+++ b/internal/reducer/registry/members.go
@@ -21,6 +21,9 @@
 	list   []model.Member
 	// hash identifies the contents of list.
 	hash uint64
+	// doubtfulUntil is the time until which the registry may list nodes whose leases were
+	// paused by an outage.
+	doubtfulUntil model.Instant
 }
 
 func newMembers() members { return members{byHost: make(map[model.HostID]model.Member)} }
@@ -29,6 +32,49 @@
 // slice.
 func (s *State) Members() []model.Member { return s.members.list }
 
+// Limits of the doubt about the members.
+const (
+	// maxMemberFailures is the number of failed calls in a row from which the registry
+	// counts as away.
+	maxMemberFailures = 3
+	// leaseMargin is added to the longest lease after an outage.
+	leaseMargin = 1 * time.Second
+)
+
+// MembersDoubtful reports whether the members may include nodes that have long been off: the
+// list is too old, or leases were paused by an outage of the registry.
+func (s *State) MembersDoubtful(now model.Instant) bool {
+	confirmed := s.tasks[taskMembers].confirmedAt
+	return confirmed != 0 && (now < s.members.doubtfulUntil || s.membersUnconfirmed(now))
+}
+
+// membersUnconfirmed reports whether the members are older than the longest time between two
+// confirmations, or cannot be read.
+func (s *State) membersUnconfirmed(now model.Instant) bool {
+	return s.memberFailures(now) >= maxMemberFailures || s.MembersAge(now) > s.settings.MemberWait+2*WatchMargin
+}
+
+// RespondsToMembers reports whether the registry answers the calls for the members of this
+// node or its reader.
+func (s *State) RespondsToMembers(now model.Instant) bool { return s.memberFailures(now) == 0 }
+
+// memberFailures returns the number of failed calls for the members in a row. The node makes
+// none while it uses the updates of its reader.
+func (s *State) memberFailures(now model.Instant) int {
+	if now < s.sharing.sharedUntil[taskMembers] {
+		return 0
+	}
+	return s.tasks[taskMembers].failures
+}
+
+// noteMembersRegained begins the time of doubt after an outage. It is called before a
+// confirmation of the members is applied.
+func (s *State) noteMembersRegained(now model.Instant) {
+	if s.tasks[taskMembers].confirmedAt != 0 && s.membersUnconfirmed(now) {
+		s.members.doubtfulUntil = now.Add(s.settings.SpareLeaseTime + leaseMargin)
+	}
+}
+
 // applyMembers applies a read of all announcements, or the changes that a watch has
 // returned. A read after a store outage may lack nodes whose leases have expired
 // meanwhile. They announce themselves again; until then they are not listed.
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -356,6 +356,9 @@
 		s.handleFailure(ctx, t, e)
 		return Changes{}
 	}
+	if t == taskMembers {
+		s.noteMembersRegained(ctx.Now)
+	}
 	if state.failures > 0 {
 		state.failures = 0
 		ctx.Log(effect.Info, component, "the registry answers again", effect.Field{Name: "task", Value: taskNames[t]})
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -346,6 +346,7 @@
 	}
 	if list, usable := s.resolveMembers(m); usable {
 		if confirmedAt, newer := s.isNewer(ctx, taskMembers, m.MembersAge); newer {
+			s.noteMembersRegained(ctx.Now)
 			s.members.replace(list)
 			s.checkOwnAnnouncement(ctx)
 			changes.Members = m.Members != nil
