--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -101,6 +101,10 @@
 	// Leaving is set if the upstream is leaving: it still replies, but must get no new
 	// requests.
 	Leaving bool
+	// RateLimited is set if the upstream limits the requests that it takes from all nodes
+	// together, and RateLimit is that limit in requests per second.
+	RateLimited bool
+	RateLimit   float64
 }
 
 // ForwardRequest is a caller's request as it is forwarded to upstreams.
--- a/internal/reducer/relay/describe.go
+++ b/internal/reducer/relay/describe.go
@@ -54,7 +54,9 @@
 	Usable   bool             `json:"usable"`
 	Draining bool             `json:"draining"`
 	// Leaving is true if the upstream's replies state that it is leaving.
-	Leaving         bool          `json:"leaving"`
+	Leaving bool `json:"leaving"`
+	// RateLimit is the limit of requests per second that the upstream names; absent if none.
+	RateLimit       *float64      `json:"rate_limit,omitempty"`
 	Misdirected     bool          `json:"misdirected"`
 	InFlight        int           `json:"in_flight"`
 	Waiting         int           `json:"waiting"`
@@ -97,7 +99,7 @@
 
 // describePool describes one upstream pool.
 func (s *State) describePool(pool *upstreamPool, now model.Instant) UpstreamDescription {
-	return UpstreamDescription{
+	d := UpstreamDescription{
 		Upstream:        pool.registration.Upstream.ID,
 		Address:         pool.registration.Upstream.Address,
 		Usable:          pool.usable(),
@@ -114,4 +116,8 @@
 		Latency:         s.replicas.Latency(pool.registration.Upstream.ID),
 		ExtraTokens:     pool.service.extraAttempts.Tokens(),
 	}
+	if pool.rateLimited {
+		d.RateLimit = &pool.rateLimit
+	}
+	return d
 }
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -54,7 +54,10 @@
 	// leavingSince is when a reply first stated that the upstream is leaving; zero if
 	// none has.
 	leavingSince model.Instant
-	crash        pendingCrash
+	// rateLimited is true while the upstream's replies name a limit of requests per second.
+	rateLimited bool
+	rateLimit   float64
+	crash       pendingCrash
 }
 
 // Limits of an upstream pool.
