--- /dev/null
+++ b/internal/reducer/relay/rate_limit_test.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hawthorntack/hawthorntack/internal/model"
+)
+
+// The bound on the requests to an upstream that names a limit: in each rateWindow at most
+// rateTolerance times what the limit allows, and rateSlack more.
+const (
+	rateWindow    = 4 * time.Second
+	rateTolerance = 1.5
+	rateSlack     = 5
+)
+
+// nameLimit lets an upstream name a limit from now on.
+func (u *upstream) nameLimit(perSecond float64) {
+	u.notice.RateLimited, u.notice.RateLimit = true, perSecond
+}
+
+// mostInWindow returns the largest number of arrivals at an upstream within a rateWindow that
+// begins at from or later.
+func (u *upstream) mostInWindow(from model.Instant) int {
+	most, first := 0, 0
+	for last, at := range u.arrivedAt {
+		for u.arrivedAt[first] < from && first < last || at.Sub(u.arrivedAt[first]) >= rateWindow {
+			first++
+		}
+		if at >= from {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// checkNamedLimits checks the bound for all upstreams that name a limit.
+func (sim *simulation) checkNamedLimits(from model.Instant) {
+	sim.t.Helper()
+	for _, id := range sortedIDs(sim) {
+		u := sim.upstreams[id]
+		if !u.notice.RateLimited {
+			continue
+		}
+		allowed := rateTolerance*u.notice.RateLimit*rateWindow.Seconds() + rateSlack
+		if got := u.mostInWindow(from); float64(got) > allowed {
+			sim.t.Errorf("%s got %d requests in %v at a limit of %v a second, allowed %.0f", id, got, rateWindow, u.notice.RateLimit, allowed)
+		}
+	}
+}
+
+// TestNamedLimitExceeded guards against an upstream that gets more requests from all nodes
+// together than the limit that it names, while others of its service take any number.
+func TestNamedLimitExceeded(t *testing.T) {
+	sim := newSimulation(t, 71, defaultSettings, 4)
+	sim.addService("single", 3, 4, 5*time.Millisecond)
+	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 2)}})
+	sim.scheduleLoad("/one/x", 1500*time.Millisecond, 180, 12*time.Second)
+	sim.advance(time.Second)
+	sim.replica("single", 0).nameLimit(30)
+	sim.replica("single", 1).nameLimit(12.5)
+	from := sim.now.Add(2 * time.Second)
+	sim.advance(13 * time.Second)
+	sim.checkNamedLimits(from)
+	if served := sim.stats(250 * time.Millisecond); served.onTime < 2140 {
+		t.Errorf("%d of 2160 requests were answered on time beside an upstream without a limit", served.onTime)
+	}
+}
+
+// TestNamedLimitsOfShardsExceeded is like TestNamedLimitExceeded, for gathered requests to
+// shards most of whose upstreams name a limit of about half of what they get.
+func TestNamedLimitsOfShardsExceeded(t *testing.T) {
+	sim := newSimulation(t, 72, defaultSettings, 4)
+	sim.register(sim.addGatherRoute(10, 5*time.Millisecond))
+	sim.scheduleLoad("/wide/x", 400*time.Millisecond, 150, 12*time.Second)
+	sim.advance(time.Second)
+	for i, id := range sortedIDs(sim) {
+		if i%10 < 7 {
+			sim.upstreams[id].nameLimit(25 + float64(i))
+		}
+	}
+	from := sim.now.Add(2 * time.Second)
+	sim.advance(13 * time.Second)
+	sim.checkNamedLimits(from)
+	if served := sim.stats(80 * time.Millisecond); served.score < 0.9 {
+		t.Errorf("mean worth %.3f of %d answers", served.score, served.requests)
+	}
+}
+
+// TestSmallNamedLimitOfLargeFleet is like TestNamedLimitExceeded, for a limit that is smaller
+// than the number of nodes.
+func TestSmallNamedLimitOfLargeFleet(t *testing.T) {
+	sim := newSimulation(t, 73, defaultSettings, 15)
+	sim.addService("single", 2, 4, 5*time.Millisecond)
+	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 2)}})
+	sim.scheduleLoad("/one/x", 1500*time.Millisecond, 150, 14*time.Second)
+	sim.advance(time.Second)
+	sim.replica("single", 0).nameLimit(2)
+	from := sim.now.Add(2 * time.Second)
+	sim.advance(15 * time.Second)
+	sim.checkNamedLimits(from)
+}
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -102,6 +102,8 @@
 	running  int
 	queue    []func()
 	arrivals int
+	// arrivedAt holds the time of each arrival.
+	arrivedAt []model.Instant
 	runs     int
 }
 
--- a/internal/reducer/relay/simulation_upstream_test.go
+++ b/internal/reducer/relay/simulation_upstream_test.go
@@ -21,6 +21,7 @@
 		return
 	}
 	u.arrivals++
+	u.arrivedAt = append(u.arrivedAt, sim.now)
 	// The upstream refuses a request if all slots are taken and 12 others wait already.
 	// It also refuses the share refuseShare of the requests at random.
 	if u.running >= u.slots && len(u.queue) >= 12 || sim.random.Float64() < u.refuseShare {
