relay: an upstream that refuses with a time to wait gets nothing from the node until then

The time was read for the product's own interface only; on the platform a refusal only lowered the learned limit for 0.5 s at the most.

Both it and the limit answer the same two questions of the dispatcher, how many attempts the upstream takes now and how long the next one has to wait, so that queues, replica selection, hedges and the Retry-After for callers follow from one place. Waiting attempts move at once; if all upstreams of a service want none, requests are refused at once with the shortest time left.

--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -105,6 +105,9 @@
 	// together, and RateLimit is that limit in requests per second.
 	RateLimited bool
 	RateLimit   float64
+	// RetryAfter is set in the refusal of a request: the upstream wants no requests from
+	// this node for so long.
+	RetryAfter time.Duration
 }
 
 // ForwardRequest is a caller's request as it is forwarded to upstreams.
--- a/internal/reducer/relay/describe.go
+++ b/internal/reducer/relay/describe.go
@@ -57,8 +57,10 @@
 	Leaving bool `json:"leaving"`
 	// RateLimit is the limit of requests per second that the upstream names, and RateShare this
 	// node's part of it; absent if there is none.
-	RateLimit       *float64      `json:"rate_limit,omitempty"`
-	RateShare       *float64      `json:"rate_share,omitempty"`
+	RateLimit *float64 `json:"rate_limit,omitempty"`
+	RateShare *float64 `json:"rate_share,omitempty"`
+	// NotBefore is the time for which the upstream still wants no requests.
+	NotBefore       time.Duration `json:"not_before_nanos,omitempty"`
 	Misdirected     bool          `json:"misdirected"`
 	InFlight        int           `json:"in_flight"`
 	Waiting         int           `json:"waiting"`
@@ -118,6 +120,7 @@
 		Latency:         s.replicas.Latency(pool.registration.Upstream.ID),
 		ExtraTokens:     pool.service.extraAttempts.Tokens(),
 	}
+	d.NotBefore = max(0, pool.notBefore.Sub(now))
 	if pool.limiter != nil {
 		limit, share := pool.limiter.limit, pool.limiter.bucket.Rate()
 		d.RateLimit, d.RateShare = &limit, &share
--- a/internal/reducer/relay/notice_test.go
+++ b/internal/reducer/relay/notice_test.go
@@ -54,3 +54,56 @@
 		}
 	}
 }
+
+// TestWorkWithinRetryAfter guards against requests to an upstream that has refused one and named
+// a time for which it wants none, beside others of its service.
+func TestWorkWithinRetryAfter(t *testing.T) {
+	const retryAfter = 3 * time.Second
+	sim := newSimulation(t, 63, defaultSettings, 3)
+	sim.addService("single", 3, 2, 10*time.Millisecond)
+	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 2)}})
+	sim.scheduleLoad("/one/x", 1500*time.Millisecond, 100, 8*time.Second)
+	sim.advance(time.Second)
+	refusing := sim.replica("single", 0)
+	refusing.refuseShare, refusing.notice.RetryAfter = 1, retryAfter
+	sim.advance(noticeDelay)
+	before := refusing.arrivals
+	sim.advance(retryAfter - 2*noticeDelay)
+	if late := refusing.arrivals - before; late > 0 {
+		t.Errorf("%d requests reached the upstream later than %v after it had asked for none", late, noticeDelay)
+	}
+	refusing.refuseShare = 0
+	before = refusing.runs
+	sim.advance(5 * time.Second)
+	if refusing.runs == before {
+		t.Error("no request ran after the end of the time")
+	}
+	if served := sim.stats(250 * time.Millisecond); served.onTime < 790 {
+		t.Errorf("%d of 800 requests were answered on time beside two other upstreams", served.onTime)
+	}
+}
+
+// TestServiceThatAsksForNoWork checks that requests are refused at once while all upstreams want
+// none, and that callers are told to return after that.
+func TestServiceThatAsksForNoWork(t *testing.T) {
+	const retryAfter = 2 * time.Second
+	sim := newSimulation(t, 64, defaultSettings, 1)
+	sim.addService("single", 2, 2, 10*time.Millisecond)
+	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 3)}})
+	sim.advance(time.Second)
+	for i := range 2 {
+		sim.replica("single", i).refuseShare, sim.replica("single", i).notice.RetryAfter = 1, retryAfter
+	}
+	sim.sendRequest(sim.nodes[0], "/one/x", 1500*time.Millisecond)
+	sim.advance(noticeDelay)
+	for i := range 2 {
+		if got := sim.replica("single", i).arrivals; got != 1 {
+			t.Fatalf("upstream %d got %d requests, want the one that it refused", i, got)
+		}
+	}
+	c := sim.sendRequest(sim.nodes[0], "/one/y", 1500*time.Millisecond)
+	left := retryAfter - noticeDelay
+	if c.answer.Outcome != model.NotRun || c.answer.RetryAfter < left-noticeDelay {
+		t.Errorf("got %+v, want a refusal at once with a retry time of about %v", c.answer, left)
+	}
+}
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -84,11 +84,13 @@
 		if s.canReplyInTime(ctx, r, pool) {
 			return pool
 		}
-		if pool.limiter == nil {
+		if pool.sendWait(ctx.Now, 1) == 0 {
 			return nil
 		}
-		// Only this upstream's limit stands against it.
-		pool.limiter.limited = true
+		// This upstream's notices stand against it, and another may have none.
+		if pool.limiter != nil {
+			pool.limiter.limited = true
+		}
 		criteria.Tried = append(criteria.Tried, best.ID)
 	}
 }
@@ -141,14 +143,14 @@
 
 // expectedWait returns how long a new attempt is expected to wait in a pool's queue.
 func (s *State) expectedWait(ctx *step.Context, r *request, pool *upstreamPool) time.Duration {
-	token := pool.tokenWait(ctx.Now, 1)
+	wait := pool.sendWait(ctx.Now, 1)
 	free := pool.freeConcurrency(ctx.Now)
 	if free > 0 {
-		return token
+		return wait
 	}
 	slots := max(1, pool.currentLimit(ctx.Now))
 	pause := max(0, pool.limit.PausedUntil().Sub(ctx.Now))
-	return max(token, pause+time.Duration(1-free)*s.replyTime(r, pool)/time.Duration(slots))
+	return max(wait, pause+time.Duration(1-free)*s.replyTime(r, pool)/time.Duration(slots))
 }
 
 // offer queues an attempt at a pool and sends it if the pool has a free slot and
--- a/internal/reducer/relay/rate_limit.go
+++ b/internal/reducer/relay/rate_limit.go
@@ -54,8 +54,6 @@
 	rate    float64
 	limited bool
 	others  map[model.HostID]rateReport
-	// wakeAt is when the pool's timer for the next token fires.
-	wakeAt model.Instant
 }
 
 // rateReport is the last report of another node.
@@ -149,15 +147,6 @@
 	limiter.bucket.SetRate(ctx.Now, ratelimit.Share(limit, ratelimit.Demand{Rate: limiter.rate, Limited: limiter.limited}, others))
 }
 
-// tokenWait returns the time until the pool has tokens for its waiting attempts and n more, zero
-// for an upstream without a limit.
-func (pool *upstreamPool) tokenWait(now model.Instant, n int) time.Duration {
-	if pool.limiter == nil {
-		return 0
-	}
-	return pool.limiter.bucket.Wait(now, pool.waiting.Len()+n)
-}
-
 // takeToken takes a token for an attempt that is sent.
 func (pool *upstreamPool) takeToken(now model.Instant) {
 	if pool.limiter != nil {
@@ -166,34 +155,6 @@
 	}
 }
 
-// freeTokens returns the number of attempts for which the pool has tokens beside those that
-// wait.
-func (pool *upstreamPool) freeTokens(now model.Instant) int {
-	if pool.limiter == nil {
-		return math.MaxInt
-	}
-	return int(math.Floor(pool.limiter.bucket.Tokens(now))) - pool.waiting.Len()
-}
-
-// awaitToken sets a timer for the next token if the first waiting attempt has none, and reports
-// whether it has to wait.
-func (s *State) awaitToken(ctx *step.Context, pool *upstreamPool) bool {
-	limiter := pool.limiter
-	if limiter == nil {
-		return false
-	}
-	wait := limiter.bucket.Wait(ctx.Now, 1)
-	if wait == 0 {
-		return false
-	}
-	limiter.limited = true
-	if at := ctx.Now.Add(wait); limiter.wakeAt <= ctx.Now || at < limiter.wakeAt {
-		limiter.wakeAt = at
-		setTimer(ctx, wait, pool.number, poolTimer)
-	}
-	return true
-}
-
 // scheduleRateReports starts the reports to the other nodes, which go on while an upstream is
 // limited.
 func (s *State) scheduleRateReports(ctx *step.Context) {
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -24,15 +24,17 @@
 		pool.load, pool.loadAt = *e.Load, ctx.Now
 	}
 	s.recordReply(ctx, pool, a, e)
-	wasLeaving := pool.isLeaving()
-	s.recordNotice(ctx, pool, a, e)
+	stopped := s.recordNotice(ctx, pool, a, e)
 	if a.abandoned {
 		s.finishAbandoned(a)
 	} else {
 		s.settleByReply(ctx, a, e)
 	}
-	if pool.isLeaving() && !wasLeaving {
-		s.stopUsing(ctx, pool)
+	if stopped {
+		s.reassignWaiting(ctx, pool)
+	}
+	if pool.isLeaving() {
+		s.closeUnusedConnections(ctx, pool)
 	}
 	s.drainQueue(ctx, pool)
 }
--- a/internal/reducer/relay/simulation_upstream_test.go
+++ b/internal/reducer/relay/simulation_upstream_test.go
@@ -82,13 +82,17 @@
 	if status == event.ForwardFailed {
 		reply.Status = 500
 	}
+	notice := u.notice
+	if status != event.ForwardNotRun {
+		notice.RetryAfter = 0
+	}
 	sim.schedule(oneWay, func() {
 		if conn.closed {
 			return
 		}
 		conn.attempt, conn.request = 0, nil
 		n.step(func(ctx *step.Context) {
-			n.state.HandleReply(ctx, event.ForwardReply{Connection: e.Connection, Attempt: e.Attempt, Status: status, Reply: reply, Load: load, Notice: u.notice, IdleTimeout: sim.idleTimeout})
+			n.state.HandleReply(ctx, event.ForwardReply{Connection: e.Connection, Attempt: e.Attempt, Status: status, Reply: reply, Load: load, Notice: notice, IdleTimeout: sim.idleTimeout})
 		})
 	})
 }
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -58,6 +58,10 @@
 	// when an attempt was last sent whose reply named none.
 	limiter     *rateLimiter
 	unlimitedAt model.Instant
+	// notBefore is the time until which the upstream wants no requests from this node.
+	notBefore model.Instant
+	// sendTimerAt is when the timer for the next attempt that the upstream takes fires.
+	sendTimerAt model.Instant
 	crash       pendingCrash
 }
 
@@ -217,10 +221,10 @@
 // freeSlots returns the number of attempts that the pool can still send at once. It is
 // negative if attempts already wait.
 func (pool *upstreamPool) freeSlots(now model.Instant) int {
-	return min(pool.freeConcurrency(now), pool.freeTokens(now))
+	return min(pool.freeConcurrency(now), pool.freeSends(now))
 }
 
-// freeConcurrency is like freeSlots, without the rate limit.
+// freeConcurrency is like freeSlots, without the notices of the upstream.
 func (pool *upstreamPool) freeConcurrency(now model.Instant) int {
 	return pool.currentLimit(now) - len(pool.inFlight) - pool.waiting.Len()
 }
@@ -256,7 +260,7 @@
 			s.scheduleDrain(ctx, pool)
 			return
 		}
-		if s.awaitToken(ctx, pool) {
+		if s.awaitSend(ctx, pool) {
 			return
 		}
 		c := s.idleConnection(ctx, pool)
@@ -341,7 +345,7 @@
 	failureRateTimeConstant = 3 * time.Second
 )
 
-// minTypicalLatency bounds from below the latency to which the wait for a token is compared.
+// minTypicalLatency bounds from below the latency to which the wait for an upstream is compared.
 const minTypicalLatency = time.Millisecond
 
 // latencyFactor returns the factor for conditions that an upstream's mean latency does not
@@ -360,7 +364,7 @@
 	if pool.replica.Domain != ctx.Self.FailureDomain {
 		factor *= remoteLatencyFactor
 	}
-	if wait := pool.tokenWait(ctx.Now, 1); wait > 0 {
+	if wait := pool.sendWait(ctx.Now, 1); wait > 0 {
 		factor *= 1 + float64(wait)/float64(max(minTypicalLatency, s.replicas.Latency(pool.registration.Upstream.ID)))
 	}
 	failureRate := pool.decayedFailureRate(ctx.Now)
