registry: an entry of another writer cannot block an upstream for good

Entries that are taken for outdated and follow each other in order four times are now taken for the upstream's own. TestForgedEntryBlocksUpstream fails without it.

--- a/internal/reducer/registry/order.go
+++ b/internal/reducer/registry/order.go
@@ -27,6 +27,29 @@
 	// once it was found not to.
 	listedAt model.Instant
 	listed   bool
+	// rejected is the newest entry that was taken for outdated, and advances counts how often
+	// such entries were followed by newer ones.
+	rejected seenOrder
+	advances int
+}
+
+// seenOrder orders the entries of an instance.
+type seenOrder struct{ incarnation, sequence uint64 }
+
+// maxAdvances is the number of times that outdated entries may follow each other in order before
+// they are taken for the upstream's own. More writes of one upstream are not delayed at the same
+// time; the entry that seemed newer then came from another writer.
+const maxAdvances = 4
+
+// reject records an entry that is older than the newest one seen, and reports whether it is to
+// be taken for outdated.
+func (e *seenEntry) reject(r model.Registration) bool {
+	order := seenOrder{r.Incarnation, r.Sequence}
+	if order.incarnation > e.rejected.incarnation || order.incarnation == e.rejected.incarnation && order.sequence > e.rejected.sequence {
+		e.rejected = order
+		e.advances++
+	}
+	return e.advances <= maxAdvances
 }
 
 // supersedes reports whether the entry is newer than a registration of the same instance. The
@@ -50,7 +73,7 @@
 		switch {
 		case seen == nil:
 			u.seen[r.Instance] = &seenEntry{registration: r, listed: true, listedAt: ctx.Now}
-		case !seen.supersedes(r):
+		case !seen.supersedes(r) || !seen.reject(r):
 			*seen = seenEntry{registration: r, listed: true, listedAt: ctx.Now}
 		case seen.listed:
 			logOutdated(ctx, r, &seen.registration)
--- a/internal/reducer/registry/order_test.go
+++ b/internal/reducer/registry/order_test.go
@@ -77,3 +77,18 @@
 		t.Error("an upstream that registered again is not used")
 	}
 }
+
+// TestForgedEntryBlocksUpstream guards against an upstream that is ignored for good because
+// another writer left an entry under its key that looks newer than all of its own.
+func TestForgedEntryBlocksUpstream(t *testing.T) {
+	f := startWithEntries(t, entry("u1", 7, 4, false))
+	forged := entry("u1", 1<<50, 1<<50, false)
+	forged.Upstream.Address = "forged"
+	f.watchUpstreams(event.RegistryResult{Revision: 11, Upstreams: []model.Registration{forged}})
+	for i := range uint64(maxAdvances + 1) {
+		f.watchUpstreams(event.RegistryResult{Revision: 12 + i, Upstreams: []model.Registration{entry("u1", 7, 5+i, false)}})
+	}
+	if got := f.state.Upstreams()[0].Upstream.Address; got != "u1" {
+		t.Errorf("address %q, want that of the upstream's own entries", got)
+	}
+}
