relay: a stopping node answers what is open and refuses what would outlast it

It can happen here: a connection that was accepted before the listeners closed may bring a request late, and a route may allow more time than the grace; the node took both and exited under them. Cause: the shutdown knew the number of open requests and nothing of their deadlines. Class: an end that is planned without the deadlines of what it ends.

Change: from SIGTERM on a request is refused at once, as not run and with a retry time, if it may be open at the exit; deadlines end 0.15 s before it, so that each open request gets its answer. TestShortRequestsAreServedWhileStopping holds what is still served.

--- a/internal/reducer/edge/edge_test.go
+++ b/internal/reducer/edge/edge_test.go
@@ -272,3 +272,109 @@
 		t.Error("the first version is still in force after the deadline of the next one")
 	}
 }
+
+// forward sends a caller's request for a path to the node.
+func (f *fixture) forward(call model.CallID, path string) {
+	f.apply(event.Forward{Call: call, Request: &model.ForwardRequest{ID: "id", Method: "POST", Host: "h", Path: path, URI: path}})
+}
+
+// answerTo returns the node's answer to a call, and false if there is none.
+func (f *fixture) answerTo(call model.CallID) (model.ForwardAnswer, bool) {
+	for _, e := range f.effects {
+		if reply, ok := e.(effect.ReplyForward); ok && reply.Call == call {
+			return reply.Answer, true
+		}
+	}
+	return model.ForwardAnswer{}, false
+}
+
+// sentAttempts returns the number of requests that were sent to upstreams.
+func (f *fixture) sentAttempts() int {
+	count := 0
+	for _, e := range f.effects {
+		if _, ok := e.(effect.SendForward); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// startServingRoutes is like startServing, with the given timeout of the routes "/once/" and
+// "/any/", of which the second is repeatable.
+func (f *fixture) startServingRoutes(timeout time.Duration) {
+	f.startServing()
+	f.advance(100 * time.Millisecond)
+	table := &model.RouteTable{Version: 2}
+	for name, repeatable := range map[string]bool{"once": false, "any": true} {
+		table.Routes = append(table.Routes, model.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Service: "s", MaxAttempts: 1, Repeatable: repeatable,
+			Timeout: timeout, TargetLatency: 100 * time.Millisecond,
+		})
+	}
+	f.answer(effect.WatchRoutes, event.RegistryResult{Revision: 6, Routes: table})
+}
+
+// openConnections lets the connections that the node opens succeed.
+func (f *fixture) openConnections() {
+	for _, e := range f.effects {
+		if open, ok := e.(effect.OpenConnection); ok {
+			f.apply(event.ConnectionOpened{Connection: open.Connection})
+		}
+	}
+}
+
+// TestLateRequestIsCutByPlannedStop guards against requests that a stopping node takes and sends
+// on although it will exit before they have to be answered, and then cuts without an answer.
+func TestLateRequestIsCutByPlannedStop(t *testing.T) {
+	f := newFixture(t)
+	f.startServingRoutes(3 * time.Second)
+	f.apply(event.StopRequested{})
+	f.advance(4 * time.Second)
+	f.forward(1, "/once/x")
+	f.openConnections()
+	f.advance(50 * time.Millisecond)
+	if f.sentAttempts() > 0 {
+		t.Error("a request that may run once was sent although the node exits before its timeout")
+	}
+	if answer, ok := f.answerTo(1); !ok || answer.Outcome != model.NotRun || answer.RetryAfter <= 0 {
+		t.Errorf("answered %v %+v, want a refusal at once with a retry time", ok, answer)
+	}
+}
+
+// TestOpenRequestIsAnsweredBeforeExit guards against requests that are open at the end of the
+// grace period and end without an answer.
+func TestOpenRequestIsAnsweredBeforeExit(t *testing.T) {
+	for _, path := range []string{"/once/x", "/any/x"} {
+		f := newFixture(t)
+		f.startServingRoutes(20 * time.Second)
+		f.forward(1, path)
+		f.openConnections()
+		if f.sentAttempts() != 1 {
+			t.Fatalf("%s: %d attempts sent, want one", path, f.sentAttempts())
+		}
+		f.apply(event.StopRequested{})
+		f.advance(6 * time.Second)
+		answer, answered := f.answerTo(1)
+		if !answered || answer.Outcome != model.Unknown {
+			t.Errorf("%s: answered %v %+v, want an unknown outcome", path, answered, answer)
+		}
+		if e, exited := last[effect.Exit](f); !exited || e.OpenRequests != 0 {
+			t.Errorf("%s: exit %v with %d open requests", path, exited, e.OpenRequests)
+		}
+	}
+}
+
+// TestShortRequestsAreServedWhileStopping checks that a stopping node serves what it can answer
+// before its exit.
+func TestShortRequestsAreServedWhileStopping(t *testing.T) {
+	f := newFixture(t)
+	f.startServingRoutes(500 * time.Millisecond)
+	f.apply(event.StopRequested{})
+	f.advance(1500 * time.Millisecond)
+	f.forward(1, "/once/x")
+	f.openConnections()
+	f.forward(2, "/any/x")
+	if _, refused := f.answerTo(1); refused || f.sentAttempts() == 0 {
+		t.Error("a request that ends long before the exit was not served")
+	}
+}
--- a/internal/reducer/edge/lifecycle.go
+++ b/internal/reducer/edge/lifecycle.go
@@ -26,6 +26,8 @@
 	// exitMargin is the part of the grace period that is reserved for closing the
 	// listeners.
 	exitMargin = 600 * time.Millisecond
+	// answerMargin is the time before the exit at which the last open requests are answered.
+	answerMargin = 150 * time.Millisecond
 )
 
 // Identifiers of the lifecycle's timers.
@@ -86,6 +88,7 @@
 	s.lifecycle.lastBusy = ctx.Now
 	ctx.Emit(effect.PublishReady{Ready: false})
 	s.setState(ctx, model.Leaving)
+	s.relay.Stop(ctx, ctx.Now.Add(max(0, s.settings.StopGrace-exitMargin-answerMargin)))
 	ctx.After(stopCheckInterval, timer.Lifecycle, stopTimer)
 }
 
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -70,7 +70,10 @@
 	sharing           sharing
 	// entryMembers are the nodes that callers are told to use.
 	entryMembers []model.Member
-	startedAt    model.Instant
+	// stopBy is when the last requests are answered before the node exits; zero unless the
+	// node is stopping.
+	stopBy    model.Instant
+	startedAt model.Instant
 	// helpers are the nodes of other failure domains that may run subqueries.
 	helpers map[model.HostID]*helper
 
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -140,7 +140,8 @@
 const quarantineRetryAfter = 10 * time.Second
 
 // prepare returns a new request for its route, or a refusal if the node has no routes or no
-// upstreams yet, no route matches, the body is too large, or the content is blocked.
+// upstreams yet, no route matches, the body is too large, the content is blocked, or the node
+// stops before the request can be answered.
 func (s *State) prepare(ctx *step.Context, e event.Forward) (*request, *refusal) {
 	if s.table == nil {
 		return nil, &refusal{failure: model.Failf(model.CodeUnavailable, "the node does not know the routes yet"), retryAfter: s.startRetryAfter(ctx)}
@@ -169,6 +170,12 @@
 		return nil, &refusal{failure: model.Failf(model.CodeQuarantined, "this content crashes upstreams"), retryAfter: quarantineRetryAfter, route: config.Name}
 	}
 	r.setTimes(matched.budget.spent(ctx.Now, e.Request.Timeout), s.lag())
+	if s.outlastsStop(r) {
+		return nil, &refusal{failure: model.Failf(model.CodeStopping, "the node is stopping"), retryAfter: minRetryAfter, route: config.Name}
+	}
+	if s.stopBy != 0 {
+		r.endBy(s.stopBy)
+	}
 	s.addParts(r)
 	return r, nil
 }
