--- a/internal/reducer/relay/rate_limit.go
+++ b/internal/reducer/relay/rate_limit.go
@@ -22,6 +22,9 @@
 // that do not hear each other do not exceed the limit.
 
 const (
+	// firstRateReport is the time from the first limit to the first report. Limits that begin
+	// together are reported together.
+	firstRateReport = 20 * time.Millisecond
 	// rateReportInterval is the time between two reports to the other nodes.
 	rateReportInterval = 500 * time.Millisecond
 	// rateReportTTL is how long a report of another node is used.
@@ -48,12 +51,13 @@
 	heardAt model.Instant
 	toldAt  model.Instant
 	bucket  ratelimit.Bucket
-	// sent counts the requests since the last report, of which rate is the moving average per
-	// second. limited is set if a request had to wait or was not offered for want of a token.
-	sent    int
-	rate    float64
-	limited bool
-	others  map[model.HostID]rateReport
+	// sent counts the requests since measuredAt, and rate is their moving average per second.
+	// limited is set if a request had to wait or was not offered for want of a token.
+	sent       int
+	measuredAt model.Instant
+	rate       float64
+	limited    bool
+	others     map[model.HostID]rateReport
 }
 
 // rateReport is the last report of another node.
@@ -78,21 +82,16 @@
 		return
 	}
 	ctx.Count(metricNotices, noticeRateLimit)
-	isNew := pool.limiter == nil || pool.limiter.heardAt == 0
 	s.setRateLimit(ctx, pool, notice.RateLimit)
 	pool.limiter.heardAt = ctx.Now
-	if isNew {
-		// The others need to know of it, and of each other, before their next interval.
-		s.sendRateReports(ctx)
-	}
 }
 
 // setRateLimit sets the limit of an upstream.
 func (s *State) setRateLimit(ctx *step.Context, pool *upstreamPool, limit float64) {
 	if pool.limiter == nil {
-		pool.limiter = &rateLimiter{bucket: ratelimit.NewBucket(ctx.Now), others: make(map[model.HostID]rateReport)}
+		pool.limiter = &rateLimiter{bucket: ratelimit.NewBucket(ctx.Now), others: make(map[model.HostID]rateReport), measuredAt: ctx.Now}
 		s.logRateLimit(ctx, pool, true, limit)
-		s.scheduleRateReports(ctx)
+		s.scheduleRateReports(ctx, firstRateReport)
 	}
 	if pool.limiter.limit != limit || pool.limiter.bucket.Rate() == 0 {
 		pool.limiter.limit = limit
@@ -157,10 +156,10 @@
 
 // scheduleRateReports starts the reports to the other nodes, which go on while an upstream is
 // limited.
-func (s *State) scheduleRateReports(ctx *step.Context) {
+func (s *State) scheduleRateReports(ctx *step.Context, delay time.Duration) {
 	if !s.reportsRates {
 		s.reportsRates = true
-		setTimer(ctx, rateReportInterval, 0, rateTimer)
+		setTimer(ctx, delay, 0, rateTimer)
 	}
 }
 
@@ -170,11 +169,8 @@
 	s.reportsRates = false
 	pools := s.limitedPools()
 	for _, pool := range pools {
-		limiter := pool.limiter
-		latest := float64(limiter.sent) / rateReportInterval.Seconds()
-		limiter.rate += rateGain * (latest - limiter.rate)
-		limiter.sent = 0
-		if limiter.isForgotten(ctx.Now) {
+		pool.limiter.measure(ctx.Now)
+		if pool.limiter.isForgotten(ctx.Now) {
 			s.endRateLimit(ctx, pool)
 			continue
 		}
@@ -184,12 +180,20 @@
 	for _, pool := range pools {
 		if pool.limiter != nil {
 			pool.limiter.limited = false
-			s.scheduleRateReports(ctx)
+			s.scheduleRateReports(ctx, rateReportInterval)
 			s.drainQueue(ctx, pool)
 		}
 	}
 }
 
+// measure updates the node's rate.
+func (l *rateLimiter) measure(now model.Instant) {
+	if elapsed := now.Sub(l.measuredAt); elapsed >= rateReportInterval/2 {
+		l.rate += rateGain * (float64(l.sent)/elapsed.Seconds() - l.rate)
+		l.sent, l.measuredAt = 0, now
+	}
+}
+
 // isForgotten reports whether nobody has heard the limit for a while, and this node cannot find
 // out because it has no part of it or has never heard it itself.
 func (l *rateLimiter) isForgotten(now model.Instant) bool {
