relay: notices of an upstream outlast a gap in its registration

TestLapsedRegistrationForgetsNotice failed before (requests to an upstream that leaves and to one that wants none). The notices of a removed pool are kept for a minute, for the same incarnation.

--- a/internal/reducer/registry/order.go
+++ b/internal/reducer/registry/order.go
@@ -65,6 +65,10 @@
 // dropOutdated returns the list without outdated entries: an instance has its newest entry
 // instead, or none if the registry was found to have removed that one.
 func (u *upstreams) dropOutdated(ctx *step.Context, read []model.Registration) []model.Registration {
+	if len(read) > 0 && len(read) == len(u.lastRead) && &read[0] == &u.lastRead[0] {
+		// Another node has confirmed the list in use.
+		return read
+	}
 	current := make([]model.Registration, 0, len(read))
 	found := make(map[string]bool, len(read))
 	for _, r := range read {
--- a/internal/reducer/relay/notice.go
+++ b/internal/reducer/relay/notice.go
@@ -104,3 +104,38 @@
 	ctx.Log(effect.Info, component, "upstream says that it leaves", append(upstreamFields(pool),
 		effect.Field{Name: "registered_as_draining", Value: strconv.FormatBool(pool.registration.Upstream.Draining)})...)
 }
+
+// rememberedNotices are the notices of an upstream whose pool was removed. Its registration may
+// lapse and come back while it runs on.
+type rememberedNotices struct {
+	incarnation  uint64
+	leavingSince model.Instant
+	notBefore    model.Instant
+	removedAt    model.Instant
+}
+
+// rememberNoticesFor is how long the notices of a removed upstream are kept.
+const rememberNoticesFor = time.Minute
+
+// rememberNotices keeps the notices of a pool that is removed, and deletes those of pools that
+// were removed long ago.
+func (s *State) rememberNotices(ctx *step.Context, pool *upstreamPool) {
+	for id, kept := range s.notices {
+		if ctx.Now.Sub(kept.removedAt) > rememberNoticesFor {
+			delete(s.notices, id)
+		}
+	}
+	if pool.leavingSince != 0 || ctx.Now < pool.notBefore {
+		s.notices[pool.registration.Upstream.ID] = rememberedNotices{
+			incarnation: pool.registration.Incarnation, leavingSince: pool.leavingSince, notBefore: pool.notBefore, removedAt: ctx.Now,
+		}
+	}
+}
+
+// restoreNotices gives a new pool the notices that the same incarnation of its upstream has
+// stated before.
+func (s *State) restoreNotices(pool *upstreamPool) {
+	if kept, found := s.notices[pool.registration.Upstream.ID]; found && kept.incarnation == pool.registration.Incarnation {
+		pool.leavingSince, pool.notBefore = kept.leavingSince, kept.notBefore
+	}
+}
--- a/internal/reducer/relay/notice_test.go
+++ b/internal/reducer/relay/notice_test.go
@@ -107,3 +107,32 @@
 		t.Errorf("got %+v, want a refusal at once with a retry time of about %v", c.answer, left)
 	}
 }
+
+// TestLapsedRegistrationForgetsNotice guards against requests to an upstream that leaves or wants
+// none, after its registration has lapsed and come back.
+func TestLapsedRegistrationForgetsNotice(t *testing.T) {
+	sim := newSimulation(t, 65, defaultSettings, 1)
+	sim.addService("single", 3, 2, 10*time.Millisecond)
+	table := &model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 2)}}
+	sim.register(table)
+	sim.scheduleLoad("/one/x", 1500*time.Millisecond, 100, 4*time.Second)
+	sim.advance(time.Second)
+	leaving, refusing := sim.replica("single", 0), sim.replica("single", 1)
+	leaving.notice.Leaving = true
+	refusing.refuseShare, refusing.notice.RetryAfter = 1, time.Minute
+	sim.advance(time.Second)
+	for id, u := range sim.upstreams {
+		if u != sim.replica("single", 2) {
+			delete(sim.upstreams, id)
+		}
+	}
+	sim.register(table)
+	sim.advance(100 * time.Millisecond)
+	sim.upstreams[leaving.id], sim.upstreams[refusing.id] = leaving, refusing
+	sim.register(table)
+	before := leaving.arrivals + refusing.arrivals
+	sim.advance(3 * time.Second)
+	if late := leaving.arrivals + refusing.arrivals - before; late > 0 {
+		t.Errorf("%d requests reached upstreams after their notices, once they were registered again", late)
+	}
+}
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -86,8 +86,10 @@
 	poolsByNumber map[uint64]*upstreamPool
 	connections   map[model.ConnectionID]*connection
 	requests      map[uint64]*request
-	calls         map[model.CallID]*request
-	attempts      map[uint64]*attempt
+	// notices are those of upstreams whose pools were removed.
+	notices  map[model.UpstreamID]rememberedNotices
+	calls    map[model.CallID]*request
+	attempts map[uint64]*attempt
 	// delegations are the subqueries that this node sent, by number. subqueries are those
 	// that it received.
 	delegations map[uint64]*delegation
@@ -121,6 +123,7 @@
 		poolsByNumber:     make(map[uint64]*upstreamPool),
 		connections:       make(map[model.ConnectionID]*connection),
 		requests:          make(map[uint64]*request),
+		notices:           make(map[model.UpstreamID]rememberedNotices),
 		calls:             make(map[model.CallID]*request),
 		attempts:          make(map[uint64]*attempt),
 		delegations:       make(map[uint64]*delegation),
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -152,6 +152,7 @@
 		waiting:      queue.New[*attempt](),
 		replica:      snapshot.Replica{ID: upstream.ID, Domain: upstream.FailureDomain, Reachable: true},
 	}
+	s.restoreNotices(pool)
 	at, _ := slices.BinarySearchFunc(pool.service.pools, upstream.ID, func(pool *upstreamPool, id model.UpstreamID) int {
 		return cmp.Compare(pool.registration.Upstream.ID, id)
 	})
@@ -178,6 +179,7 @@
 func (s *State) removePool(ctx *step.Context, pool *upstreamPool, reason string) {
 	ctx.Log(effect.Info, component, "upstream dropped", append(upstreamFields(pool), effect.Field{Name: "reason", Value: reason})...)
 	pool.removed = true
+	s.rememberNotices(ctx, pool)
 	delete(s.pools, pool.registration.Upstream.ID)
 	pool.service.pools = slices.DeleteFunc(pool.service.pools, func(other *upstreamPool) bool { return other == pool })
 	s.replicas.Remove(pool.registration.Upstream.ID)
