registry: the order of entries is remembered from their removal; one lookup of a host in a list

Found by reading: the time for which a removed entry's order is kept began when the list last changed, so that after a calm of over 30 s a delayed heartbeat could bring a removed upstream back. TestHeartbeatDelayedAfterLongCalm failed before. The lookup of a host in an ordered list of members stood twice and is now in model; the hosts of the relay's simulation are named in order.

--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -1,5 +1,10 @@
 package model
 
+import (
+	"cmp"
+	"slices"
+)
+
 // MemberState is the state of a member as seen by one node.
 type MemberState string
 
@@ -37,6 +42,12 @@
 	Load int `json:"load,omitempty"`
 }
 
+// ContainsHost reports whether a host is among the members, which are ordered by host.
+func ContainsHost(members []Member, host HostID) bool {
+	_, found := slices.BinarySearchFunc(members, host, func(member Member, host HostID) int { return cmp.Compare(member.Host, host) })
+	return found
+}
+
 // DefaultHostWeight is the weight of a host that sets none.
 const DefaultHostWeight = 1
 
--- a/internal/reducer/edge/entry.go
+++ b/internal/reducer/edge/entry.go
@@ -32,7 +32,7 @@
 	}
 	s.logServing(ctx, serving)
 	s.serving, s.entryNodes = serving, subset
-	isEntry := containsHost(subset, s.self.Host)
+	isEntry := model.ContainsHost(subset, s.self.Host)
 	s.registry.SetEntry(ctx, isEntry && len(serving) > 1)
 	s.relay.SetMembers(ctx, serving, subset)
 }
@@ -47,7 +47,7 @@
 	left := maxLoggedHosts
 	log := func(text string, list, others []model.Member) {
 		for _, member := range list {
-			if left > 0 && !containsHost(others, member.Host) {
+			if left > 0 && !model.ContainsHost(others, member.Host) {
 				left--
 				ctx.Log(effect.Info, component, text, effect.Field{Name: "host", Value: string(member.Host)}, age)
 			}
@@ -57,14 +57,6 @@
 	log("host no longer serves", s.serving, serving)
 }
 
-// containsHost reports whether a host is among the members, which are ordered by host.
-func containsHost(members []model.Member, host model.HostID) bool {
-	_, found := slices.BinarySearchFunc(members, host, func(member model.Member, host model.HostID) int {
-		return cmp.Compare(member.Host, host)
-	})
-	return found
-}
-
 // upstreamsByDomain returns the number of registered upstreams in each failure domain.
 func (s *State) upstreamsByDomain() map[model.FailureDomain]int {
 	counts := make(map[model.FailureDomain]int)
@@ -97,7 +89,7 @@
 	}
 	var greeted []model.Member
 	for _, member := range s.registry.Members() {
-		if s.liveness.IsDown(member.Host) || containsHost(s.entryNodes, member.Host) {
+		if s.liveness.IsDown(member.Host) || model.ContainsHost(s.entryNodes, member.Host) {
 			greeted = append(greeted, member)
 		}
 	}
--- a/internal/reducer/registry/order.go
+++ b/internal/reducer/registry/order.go
@@ -23,10 +23,9 @@
 // seenEntry is the newest entry that the node has seen of an upstream's instance.
 type seenEntry struct {
 	registration model.Registration
-	// listedAt is when the registry was last found to list the instance. listed is false
-	// once it was found not to.
-	listedAt model.Instant
-	listed   bool
+	// removedAt is when the registry was found to list the instance no longer; zero while it
+	// lists it.
+	removedAt model.Instant
 	// rejected is the newest entry that was taken for outdated, and advances counts how often
 	// such entries were followed by newer ones.
 	rejected seenOrder
@@ -76,12 +75,11 @@
 		seen := u.seen[r.Instance]
 		switch {
 		case seen == nil:
-			u.seen[r.Instance] = &seenEntry{registration: r, listed: true, listedAt: ctx.Now}
+			u.seen[r.Instance] = &seenEntry{registration: r}
 		case !seen.supersedes(r) || !seen.reject(r):
-			*seen = seenEntry{registration: r, listed: true, listedAt: ctx.Now}
-		case seen.listed:
+			*seen = seenEntry{registration: r}
+		case seen.removedAt == 0:
 			logOutdated(ctx, r, &seen.registration)
-			seen.listedAt = ctx.Now
 			r = seen.registration
 		default:
 			logOutdated(ctx, r, &seen.registration)
@@ -99,10 +97,10 @@
 	for instance, seen := range u.seen {
 		switch {
 		case found[instance]:
-		case now.Sub(seen.listedAt) > forgetRemovedAfter:
+		case seen.removedAt == 0:
+			seen.removedAt = now
+		case now.Sub(seen.removedAt) > forgetRemovedAfter:
 			delete(u.seen, instance)
-		default:
-			seen.listed = false
 		}
 	}
 }
--- a/internal/reducer/registry/order_test.go
+++ b/internal/reducer/registry/order_test.go
@@ -92,3 +92,17 @@
 		t.Errorf("address %q, want that of the upstream's own entries", got)
 	}
 }
+
+// TestHeartbeatDelayedAfterLongCalm is like TestDelayedHeartbeatRevivesRemovedUpstream, for an entry
+// that had not changed for long, as in the view of a node that follows a reader.
+func TestHeartbeatDelayedAfterLongCalm(t *testing.T) {
+	f := startWithEntries(t, entry("u1", 7, 4, false), entry("u2", 7, 4, false))
+	for range 100 {
+		f.watchUpstreams(event.RegistryResult{Revision: 10})
+	}
+	f.watchUpstreams(event.RegistryResult{Revision: 11, RemovedUpstreams: []string{"u1"}})
+	f.watchUpstreams(event.RegistryResult{Revision: 12, Upstreams: []model.Registration{entry("u1", 7, 3, false)}})
+	if f.isUsable("u1") {
+		t.Error("a delayed heartbeat put a removed upstream back in use")
+	}
+}
--- a/internal/reducer/relay/sharing.go
+++ b/internal/reducer/relay/sharing.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"slices"
-
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
@@ -60,7 +58,7 @@
 	s.entryMembers = entry
 	next := newSharing()
 	if len(entry) > 0 {
-		next = sharing{entryNodes: len(entry), otherNodes: len(serving) - len(entry), isEntry: containsHost(entry, ctx.Self.Host)}
+		next = sharing{entryNodes: len(entry), otherNodes: len(serving) - len(entry), isEntry: model.ContainsHost(entry, ctx.Self.Host)}
 		s.updateHelpers(ctx, entry, next.isEntry)
 	}
 	if next == s.sharing {
@@ -82,8 +80,3 @@
 	}
 	s.setHelpers(ctx, entry)
 }
-
-// containsHost reports whether a host is among the members.
-func containsHost(members []model.Member, host model.HostID) bool {
-	return slices.ContainsFunc(members, func(member model.Member) bool { return member.Host == host })
-}
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -156,7 +156,7 @@
 			View:   emptyView{},
 			Timers: &n.timers,
 			Config: &model.Config{},
-			Self:   model.Member{Host: model.HostID(fmt.Sprintf("host-%d", len(sim.nodes))), FailureDomain: "a", Incarnation: 1},
+			Self:   model.Member{Host: model.HostID(fmt.Sprintf("host-%02d", len(sim.nodes))), FailureDomain: "a", Incarnation: 1},
 		}
 		sim.nodes = append(sim.nodes, n)
 	}
