--- a/internal/reducer/registry/members.go
+++ b/internal/reducer/registry/members.go
@@ -48,6 +48,11 @@
 	return confirmed != 0 && (now < s.members.doubtfulUntil || s.membersUnconfirmed(now))
 }
 
+// MembersAge is like UpstreamsAge, for the nodes.
+func (s *State) MembersAge(now model.Instant) time.Duration {
+	return now.Sub(s.tasks[taskMembers].confirmedAt)
+}
+
 // membersUnconfirmed reports whether the members are older than the longest time between two
 // confirmations, or cannot be read.
 func (s *State) membersUnconfirmed(now model.Instant) bool {
--- a/internal/reducer/registry/order.go
+++ b/internal/reducer/registry/order.go
@@ -28,12 +28,14 @@
 	removedAt model.Instant
 	// rejected is the newest entry that was taken for outdated, and advances counts how often
 	// such entries were followed by newer ones.
-	rejected seenOrder
+	rejected model.Registration
 	advances int
 }
 
-// seenOrder orders the entries of an instance.
-type seenOrder struct{ incarnation, sequence uint64 }
+// isOlder reports whether one entry of an instance was sent before another.
+func isOlder(a, b *model.Registration) bool {
+	return a.Incarnation < b.Incarnation || a.Incarnation == b.Incarnation && a.Sequence < b.Sequence
+}
 
 // maxAdvances is the number of times that outdated entries may follow each other in order before
 // they are taken for the upstream's own. More writes of one upstream are not delayed at the same
@@ -43,9 +45,8 @@
 // reject records an entry that is older than the newest one seen, and reports whether it is to
 // be taken for outdated.
 func (e *seenEntry) reject(r model.Registration) bool {
-	order := seenOrder{r.Incarnation, r.Sequence}
-	if order.incarnation > e.rejected.incarnation || order.incarnation == e.rejected.incarnation && order.sequence > e.rejected.sequence {
-		e.rejected = order
+	if isOlder(&e.rejected, &r) {
+		e.rejected = r
 		e.advances++
 	}
 	return e.advances <= maxAdvances
@@ -55,10 +56,7 @@
 // order is not known for an upstream that states no incarnation.
 func (e *seenEntry) supersedes(r model.Registration) bool {
 	own := &e.registration
-	if own.Incarnation == 0 || r.Incarnation == 0 {
-		return false
-	}
-	return r.Incarnation < own.Incarnation || r.Incarnation == own.Incarnation && r.Sequence < own.Sequence
+	return own.Incarnation != 0 && r.Incarnation != 0 && isOlder(&r, own)
 }
 
 // dropOutdated returns the list without outdated entries: an instance has its newest entry
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -227,16 +227,6 @@
 	return now.Sub(s.tasks[taskRoutes].confirmedAt)
 }
 
-// UpstreamsAge returns how long ago the upstreams were last known to be current.
-func (s *State) UpstreamsAge(now model.Instant) time.Duration {
-	return now.Sub(s.tasks[taskUpstreams].confirmedAt)
-}
-
-// MembersAge is like UpstreamsAge, for the nodes.
-func (s *State) MembersAge(now model.Instant) time.Duration {
-	return now.Sub(s.tasks[taskMembers].confirmedAt)
-}
-
 // startCall starts the next call of a task, unless one is in flight. While updates from
 // another node keep the task's part of the view current, the call is postponed.
 func (s *State) startCall(ctx *step.Context, t task) {
@@ -324,13 +314,6 @@
 	return Changes{}
 }
 
-// RefreshUpstreams reads the upstreams now, even if updates from another node are
-// current.
-func (s *State) RefreshUpstreams(ctx *step.Context) {
-	s.sharing.sharedUntil[taskUpstreams] = 0
-	s.startCall(ctx, taskUpstreams)
-}
-
 // scheduleCall schedules the next call of a task after a delay.
 func (s *State) scheduleCall(ctx *step.Context, t task, d time.Duration) {
 	s.tasks[t].nextCallAt = ctx.Now.Add(d)
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -37,6 +37,18 @@
 // modify the slice.
 func (s *State) Upstreams() []model.Registration { return s.upstreams.list }
 
+// UpstreamsAge returns how long ago the upstreams were last known to be current.
+func (s *State) UpstreamsAge(now model.Instant) time.Duration {
+	return now.Sub(s.tasks[taskUpstreams].confirmedAt)
+}
+
+// RefreshUpstreams reads the upstreams now, even if updates from another node are
+// current.
+func (s *State) RefreshUpstreams(ctx *step.Context) {
+	s.sharing.sharedUntil[taskUpstreams] = 0
+	s.startCall(ctx, taskUpstreams)
+}
+
 // merge returns the newest list with the changes that a watch has reported.
 func (u *upstreams) merge(changed []model.Registration, removed []string) []model.Registration {
 	if len(changed) == 0 && len(removed) == 0 {
--- a/internal/reducer/relay/notice.go
+++ b/internal/reducer/relay/notice.go
@@ -27,7 +27,7 @@
 	if e.Status == event.ForwardMisdirected || pool.removed {
 		return false
 	}
-	wasStopped := pool.isLeaving() || ctx.Now < pool.notBefore
+	wasStopped := pool.isStopped(ctx.Now)
 	if e.Notice.Leaving {
 		s.recordLeaving(ctx, pool)
 	}
@@ -37,7 +37,13 @@
 	if e.Notice.RateLimited || e.Status != event.ForwardInvalid {
 		s.recordRateLimit(ctx, pool, a, e.Notice)
 	}
-	return !wasStopped && (pool.isLeaving() || ctx.Now < pool.notBefore)
+	return !wasStopped && pool.isStopped(ctx.Now)
+}
+
+// isStopped reports whether the upstream takes no attempts now, because it is leaving or wants
+// none for a while.
+func (pool *upstreamPool) isStopped(now model.Instant) bool {
+	return pool.isLeaving() || now < pool.notBefore
 }
 
 // recordRetryAfter records that an upstream wants no requests for a while. A shorter time in a
