--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -33,6 +33,7 @@
 	"repeated-refusal":  repeatedRefusal,
 	"long-answer":       longAnswer,
 	"popular-content":   popularContent,
+	"huge-limit":        hugeLimit,
 	"odd-entry":         oddEntry,
 	"impatient-callers": impatientCallers,
 }
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -35,9 +35,7 @@
 	// crashes reports whether a request for a path ends the upstream, and arranges for that; nil
 	// means that none does.
 	crashes func(path string) bool
-	// header is added to all replies.
-	header map[string]string
-	rec    *record
+	rec     *record
 
 	mu          sync.Mutex
 	listener    net.Listener
@@ -50,6 +48,8 @@
 	// inUse holds an element for each slot in use. A new incarnation has a new one.
 	inUse chan struct{}
 	runs  map[string]int
+	// extraHeader is a header line that is added to all replies, or empty.
+	extraHeader string
 }
 
 // start listens, at the earlier address after a crash.
@@ -212,14 +212,12 @@
 // encode returns the bytes of a reply.
 func (u *upstream) encode(status int, id string, header map[string]string, body []byte) []byte {
 	u.mu.Lock()
-	running := len(u.inUse)
+	running, extra := len(u.inUse), u.extraHeader
 	u.mu.Unlock()
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	fmt.Fprintf(&b, "Attempt-Id: %s\r\nInstance-Id: %s\r\nInstance-Load: %d,0,%d\r\n", id, u.instance, running, u.slots)
-	for name, value := range u.header {
-		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
-	}
+	b.WriteString(extra)
 	for name, value := range header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
@@ -228,6 +226,13 @@
 	return b.Bytes()
 }
 
+// setHeader adds a header to all following replies.
+func (u *upstream) setHeader(name, value string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.extraHeader = name + ": " + value + "\r\n"
+}
+
 // runsOf returns how many times the upstream began to run a request.
 func (u *upstream) runsOf(id string) int {
 	u.mu.Lock()
