--- a/review/harness/impatient_callers.go
+++ b/review/harness/impatient_callers.go
@@ -130,8 +130,8 @@
 	f.store.Remove(key)
 }
 
-// closeOnLinger makes the end of a connection a reset, as that of a process with unread bytes.
-func closeOnLinger(connection net.Conn) {
+// resetOnClose makes the end of a connection a reset.
+func resetOnClose(connection net.Conn) {
 	if tcp, ok := connection.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -85,7 +85,7 @@
 	u.up = false
 	u.listener.Close()
 	for connection := range u.connections {
-		closeOnLinger(connection)
+		resetOnClose(connection)
 		connection.Close()
 	}
 	u.connections = make(map[net.Conn]bool)
