--- a/review/harness/impatient_callers.go
+++ b/review/harness/impatient_callers.go
@@ -19,7 +19,7 @@
 	// upstream that crashed is down.
 	crashPause      = 180 * time.Millisecond
 	upstreamRestart = 2 * time.Second
-	crashTime       = 5500 * time.Millisecond
+	crashTime       = 8 * time.Second
 	// patientCallers stay for their answers to other requests: one in five callers leaves.
 	patientCallers = 4
 	// stabilityWindow is the time after the third crash from which retries count, and
--- a/review/harness/popular_content.go
+++ b/review/harness/popular_content.go
@@ -19,6 +19,8 @@
 	// to the final fault.
 	calmBefore   = 12 * time.Second
 	crashToFault = 2 * time.Second
+	// crashGap is the time between the crashes of two upstreams.
+	crashGap = 20 * time.Millisecond
 	// upstreamsDown is how long the upstreams are down.
 	upstreamsDown = 4 * time.Second
 	// nodesDown is how long the nodes are down in the final fault.
@@ -120,7 +122,7 @@
 	return float64(served) / float64(max(1, sent))
 }
 
-// crashUpstreams ends all upstreams at the same time, and starts them again after a while. Their
+// crashUpstreams ends all upstreams one shortly after the other, and starts them again after a while. Their
 // entries expire after three heartbeats.
 func (f *fleet) crashUpstreams(down time.Duration) error {
 	var keys []string
@@ -130,6 +132,7 @@
 	f.rec.printf("all %d upstreams crash", len(f.upstreams))
 	for _, u := range f.upstreams {
 		u.crash()
+		time.Sleep(crashGap)
 	}
 	time.Sleep(3 * heartbeatInterval)
 	for _, key := range keys {
