relay, upstream: a part that is offered to the same upstream again needs another connection

Cause: replies are told apart by the identifier of the caller's attempt, which all sendings of one request share. A refused part may be offered to the same upstream again, and went over the connection that had just become idle, where a late copy of the first refusal was taken for the second reply. Also an unidentified reply on a reused connection was taken for that of the pending request, and a late copy of an attempt's reply for a status.

Change: such a part needs a connection that has not carried it, however late the copy comes; others use the idle connections meanwhile, and if no new one can be opened the part goes to another upstream. A reply without an identifier belongs to no request on a connection that was used before. Status reads and cancellations do not accept replies of attempts.

--- a/internal/reducer/relay/connection.go
+++ b/internal/reducer/relay/connection.go
@@ -41,11 +41,11 @@
 // sent while the upstream closes the connection.
 const idleMargin = 500 * time.Millisecond
 
-// idleConnection returns the newest idle connection, or nil. It closes the idle
-// connections that the upstream may be about to close.
-func (s *State) idleConnection(ctx *step.Context, pool *upstreamPool) *connection {
+// idleConnection returns the newest idle connection that an attempt may use, or nil. It
+// closes the idle connections that the upstream may be about to close.
+func (s *State) idleConnection(ctx *step.Context, pool *upstreamPool, a *attempt) *connection {
 	for _, c := range slices.Backward(pool.connections) {
-		if c.state != idle {
+		if c.state != idle || a.wasSentOn(c) {
 			continue
 		}
 		if c.expiresAt != 0 && ctx.Now >= c.expiresAt {
@@ -125,6 +125,9 @@
 	if c.state == connecting {
 		s.connectFailed(ctx, pool, e)
 	}
+	if e.Mismatch {
+		ctx.Count(metricMismatched, "")
+	}
 	if a := c.attempt; a != nil {
 		s.handleLostAttempt(ctx, c, a, e)
 	}
@@ -145,6 +148,8 @@
 	setTimer(ctx, delay, pool.number, poolTimer)
 	if pool.openConnections() == 0 {
 		s.reassignWaiting(ctx, pool)
+	} else {
+		s.reassignResent(ctx, pool)
 	}
 }
 
@@ -181,7 +186,7 @@
 // another upstream if the pool is unusable.
 func (s *State) requeue(ctx *step.Context, pool *upstreamPool, a *attempt) {
 	a.request.parts[a.part].possibleRuns--
-	a.sentAt = 0
+	a.sentAt, a.sentOn = 0, 0
 	if !pool.usable() {
 		s.reassignUnsent(ctx, a, model.CodeUnavailable)
 		return
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -40,6 +40,8 @@
 	metricLost         effect.Metric = "relay_lost_replies_total"
 	metricCallersGone  effect.Metric = "relay_callers_gone_total"
 	metricMisdirected  effect.Metric = "relay_misdirected_total"
+	metricMismatched   effect.Metric = "relay_mismatched_replies_total"
+	metricResends      effect.Metric = "relay_resends_total"
 	metricConnectFails effect.Metric = "relay_failed_connects_total"
 	metricNotices      effect.Metric = "relay_notices_total"
 )
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -98,8 +98,9 @@
 	queueEntry queue.Entry[*attempt]
 	connection *connection
 	createdAt  model.Instant
-	// sentAt is when the attempt was sent; zero before.
+	// sentAt is when the attempt was sent, and sentOn the connection on which; zero before.
 	sentAt  model.Instant
+	sentOn  model.ConnectionID
 	hedge   bool
 	settled bool
 	// refusedIdle means that the upstream refused the attempt although it had free slots.
--- a/internal/reducer/relay/retry.go
+++ b/internal/reducer/relay/retry.go
@@ -96,10 +96,10 @@
 
 // poolAfterRefusal returns the pool of an upstream that refused the part although it had free
 // slots, or nil. Such an upstream refuses requests at random, and may accept the part now: it
-// can be the only one left of its shard.
+// can be the only one left of its shard. The attempt needs another connection (see resend.go).
 func (s *State) poolAfterRefusal(ctx *step.Context, r *request, p *part) *upstreamPool {
 	for _, a := range p.attempts {
-		if a.refusedIdle && a.pool.usable() && s.canReplyInTime(ctx, r, a.pool) {
+		if a.refusedIdle && a.pool.usable() && a.pool.connectBackoff.Failures == 0 && s.canReplyInTime(ctx, r, a.pool) {
 			return a.pool
 		}
 	}
--- a/internal/reducer/relay/simulation_load_test.go
+++ b/internal/reducer/relay/simulation_load_test.go
@@ -16,6 +16,7 @@
 	id := "r" + strconv.Itoa(int(sim.lastCall))
 	c := &call{id: id, path: path, startedAt: sim.now, runs: make(map[string]int)}
 	sim.calls[callKey{n, sim.lastCall}] = c
+	sim.callByID[id] = c
 	request := &model.ForwardRequest{ID: id, Method: "GET", Host: "h", Path: path, URI: path, Timeout: timeout}
 	n.step(func(ctx *step.Context) {
 		n.state.HandleForward(ctx, event.Forward{Call: sim.lastCall, Request: request})
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -30,6 +30,7 @@
 	// ended.
 	calls    map[callKey]*call
 	answers  []*call
+	callByID map[string]*call
 	lastCall model.CallID
 	// idleTimeout is the idle timeout that upstreams state in their replies; zero means
 	// none.
@@ -79,6 +80,10 @@
 	closed   bool
 	attempt  uint64
 	request  *model.ForwardRequest
+	// lateCopy is the identifier of a request that was refused on the connection and whose
+	// refusal is sent again; copyAfter is the number of requests before the copy.
+	lateCopy  string
+	copyAfter int
 }
 
 // upstream simulates one replica with slots, a queue and injected faults.
@@ -94,6 +99,9 @@
 	refuseShare float64
 	loseShare   float64
 	failShare   float64
+	// repeatShare is the share of the refusals that are sent a second time, where the reply to
+	// one of the next requests on the connection is expected.
+	repeatShare float64
 	// notice is stated in each reply.
 	notice model.Notice
 	// crashOn is the URI on which the upstream crashes; empty means none.
@@ -148,6 +156,7 @@
 		random:    rand.New(rand.NewPCG(seed, seed)),
 		upstreams: make(map[string]*upstream),
 		calls:     make(map[callKey]*call),
+		callByID:  make(map[string]*call),
 	}
 	for range nodes {
 		n := &node{sim: sim, connections: make(map[model.ConnectionID]*simConnection)}
@@ -356,15 +365,8 @@
 	sim.schedule(oneWay, func() { n.receiveRequest(e, conn) })
 }
 
-// findCall returns the open call of a request, or nil.
-func (sim *simulation) findCall(id string) *call {
-	for _, c := range sim.calls {
-		if c.id == id {
-			return c
-		}
-	}
-	return nil
-}
+// findCall returns the call of a request, which may have ended.
+func (sim *simulation) findCall(id string) *call { return sim.callByID[id] }
 
 // recordAnswer records the answer to a call.
 func (n *node) recordAnswer(e effect.ReplyForward) {
--- a/internal/reducer/relay/simulation_upstream_test.go
+++ b/internal/reducer/relay/simulation_upstream_test.go
@@ -21,6 +21,7 @@
 		return
 	}
 	u.arrivals++
+	n.sendLateCopy(e, conn)
 	if told, found := u.toldAt[n]; found && sim.now.Sub(told) >= toldBefore {
 		u.arrivedAt = append(u.arrivedAt, sim.now)
 	}
@@ -28,12 +29,36 @@
 	// It also refuses the share refuseShare of the requests at random.
 	if u.running >= u.slots && len(u.queue) >= 12 || sim.random.Float64() < u.refuseShare {
 		n.reply(e, conn, event.ForwardNotRun)
+		if sim.random.Float64() < u.repeatShare {
+			conn.lateCopy, conn.copyAfter = e.Request.ID, sim.random.IntN(maxCopyAfter)
+		}
 		return
 	}
 	u.queue = append(u.queue, func() { n.startRequest(e, conn) })
 	sim.startQueued(u)
 }
 
+// maxCopyAfter bounds the requests on a connection before a late copy of a refusal.
+const maxCopyAfter = 3
+
+// sendLateCopy sends the late copy of a refusal, if one is due. The node takes it for the reply to
+// the request only if that has the same identifier, and closes the connection otherwise.
+func (n *node) sendLateCopy(e effect.SendForward, conn *simConnection) {
+	if conn.lateCopy == "" {
+		return
+	}
+	if conn.copyAfter > 0 {
+		conn.copyAfter--
+		return
+	}
+	if conn.lateCopy != e.Request.ID {
+		n.closeConnection(e.Connection, conn, "mismatch")
+	} else {
+		n.reply(e, conn, event.ForwardNotRun)
+	}
+	conn.lateCopy = ""
+}
+
 // startQueued starts queued requests while the upstream has free slots.
 func (sim *simulation) startQueued(u *upstream) {
 	for u.running < u.slots && len(u.queue) > 0 {
@@ -92,6 +117,11 @@
 		if conn.closed {
 			return
 		}
+		if conn.attempt != e.Attempt {
+			// The connection was waiting for another reply or for none.
+			n.closeConnection(e.Connection, conn, "mismatch")
+			return
+		}
 		conn.attempt, conn.request = 0, nil
 		if _, found := u.toldAt[n]; !found && notice.RateLimited {
 			u.toldAt[n] = sim.now
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -265,12 +265,12 @@
 		if s.awaitSend(ctx, pool) {
 			return
 		}
-		c := s.idleConnection(ctx, pool)
+		a, c := s.nextToSend(ctx, pool)
 		if c == nil {
+			s.makeRoom(ctx, pool)
 			s.connect(ctx, pool)
 			return
 		}
-		a := pool.waiting.First().Value
 		pool.waiting.Remove(&a.queueEntry)
 		s.send(ctx, pool, c, a)
 	}
@@ -290,10 +290,14 @@
 	c.attempt = a
 	a.connection = c
 	a.sentAt = ctx.Now
+	a.sentOn = c.id
 	pool.inFlight = append(pool.inFlight, a)
 	pool.takeToken(ctx.Now)
 	r := a.request
 	a.knownSuspect = s.isKnownSuspect(ctx, r)
+	if a.isResend() {
+		ctx.Count(metricResends, "")
+	}
 	r.parts[a.part].possibleRuns++
 	r.anySent = true
 	s.attemptsSent++
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -75,6 +75,8 @@
 	encoded []byte
 	// attempt is zero for status reads and cancellations.
 	attempt model.AttemptID
+	// reused is set if the connection has carried another request before.
+	reused bool
 	// handle converts a reply into an event for the reducer. An error closes the
 	// connection.
 	handle func(response *http.Response, body []byte) (event.Event, error)
@@ -99,7 +101,9 @@
 	writeStarted bool
 	// writeCompleted is true once the whole request has been handed to the socket.
 	writeCompleted bool
-	closed         bool
+	// used is true once a request has been sent.
+	used   bool
+	closed bool
 }
 
 // newConnection returns a connection over an open socket.
@@ -121,6 +125,8 @@
 		return false
 	}
 	c.pending = e
+	e.reused = c.used
+	c.used = true
 	c.writeStarted = false
 	c.writeCompleted = false
 	c.mu.Unlock()
@@ -432,7 +438,10 @@
 	if err != nil {
 		return nil, err
 	}
-	handle := func(_ *http.Response, body []byte) (event.Event, error) {
+	handle := func(response *http.Response, body []byte) (event.Event, error) {
+		if err := checkNoAttempt(response); err != nil {
+			return nil, err
+		}
 		var status StatusReply
 		if err := json.Unmarshal(body, &status); err != nil {
 			return nil, fmt.Errorf("decode status: %w", err)
@@ -453,8 +462,20 @@
 	if err != nil {
 		return nil, err
 	}
-	handle := func(*http.Response, []byte) (event.Event, error) {
+	handle := func(response *http.Response, _ []byte) (event.Event, error) {
+		if err := checkNoAttempt(response); err != nil {
+			return nil, err
+		}
 		return event.UpstreamCancelDone{Connection: e.Connection}, nil
 	}
 	return &exchange{request: request, handle: handle}, nil
 }
+
+// checkNoAttempt returns *UnexpectedReplyError if a reply belongs to an attempt: a late copy of
+// such a reply may arrive where the reply to a status read or a cancellation is expected.
+func checkNoAttempt(response *http.Response) error {
+	if attempt := response.Header.Get(AttemptHeader); attempt != "" {
+		return &UnexpectedReplyError{Want: "none", Got: attempt}
+	}
+	return nil
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -61,8 +61,9 @@
 	// Encode returns the bytes of a request, as written to the connection.
 	Encode(e effect.SendForward) []byte
 	// Decode decodes a complete reply. An error means that the reply does not
-	// belong to the request, and closes the connection.
-	Decode(e effect.SendForward, response *http.Response, body []byte) (event.ForwardReply, error)
+	// belong to the request, and closes the connection. reused is true if the connection
+	// has carried another request before, whose reply may arrive again.
+	Decode(e effect.SendForward, reused bool, response *http.Response, body []byte) (event.ForwardReply, error)
 }
 
 // SetCodec sets the codec of forwarded requests. It must be called before the first
@@ -77,16 +78,17 @@
 		p.submitAsync(event.ConnectionClosed{Connection: e.Connection, Attempt: attempt, Reason: "already closed"})
 		return
 	}
-	p.start(h, e.Connection, &exchange{
+	x := &exchange{
 		request: &http.Request{Method: e.Request.Method},
 		encoded: p.codec.Encode(e),
 		attempt: attempt,
-		handle: func(response *http.Response, body []byte) (event.Event, error) {
-			reply, err := p.codec.Decode(e, response, body)
-			reply.Closing = response.Close
-			return reply, err
-		},
-	})
+	}
+	x.handle = func(response *http.Response, body []byte) (event.Event, error) {
+		reply, err := p.codec.Decode(e, x.reused, response, body)
+		reply.Closing = response.Close
+		return reply, err
+	}
+	p.start(h, e.Connection, x)
 }
 
 // Open dials an upstream. ConnectionOpened or ConnectionClosed follows.
--- a/internal/upstream/reply_test.go
+++ b/internal/upstream/reply_test.go
@@ -95,3 +95,30 @@
 		t.Errorf("second event: got %+v", seen[1])
 	}
 }
+
+// TestLateCopyTakenForStatus guards against a late copy of an attempt's reply that is taken for the
+// reply to a status read: the upstream would count as one that holds nothing.
+func TestLateCopyTakenForStatus(t *testing.T) {
+	for _, request := range []struct {
+		name string
+		send func(pool *Pool)
+	}{
+		{"status read", func(pool *Pool) { pool.ReadStatus(effect.ReadUpstreamStatus{Connection: 1}) }},
+		{"cancellation", func(pool *Pool) { pool.Cancel(effect.CancelUpstream{Connection: 1}) }},
+	} {
+		t.Run(request.name, func(t *testing.T) {
+			address := serveReplies(t, func(string) []string { return []string{"a-1-7"} })
+			events := make(chan event.Event, 16)
+			pool := NewPool(nil, func(e event.Event) { events <- e })
+			defer pool.CloseAll()
+			pool.Open(effect.OpenConnection{Connection: 1, Address: address})
+			if _, opened := (<-events).(event.ConnectionOpened); !opened {
+				t.Fatal("the connection was not opened")
+			}
+			request.send(pool)
+			if closed, ended := (<-events).(event.ConnectionClosed); !ended || !closed.Mismatch {
+				t.Errorf("got %+v", closed)
+			}
+		})
+	}
+}
