Numbers from other processes are bounded where they are decoded

Cause: the limit was taken as any finite number. Converted to a number of nodes it overflowed, and the reducer panicked (makeslice in rendezvous.Top). The class: numbers that someone else sends are used as they come.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 
+	"github.com/hawthorntack/hawthorntack/internal/bounded"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
@@ -342,6 +343,12 @@
 	Revision model.Revision
 }
 
+// Bound brings the numbers of a suspicion that another node has sent into the bounds of package
+// bounded.
+func (s *Suspicion) Bound() {
+	s.TimeLeft, s.BlockDuration = bounded.Nanoseconds(s.TimeLeft), bounded.Nanoseconds(s.BlockDuration)
+}
+
 // Unblock clears the suspicions and blocks of a fingerprint.
 type Unblock struct {
 	Service     model.ServiceName
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -79,7 +79,7 @@
 	incarnation := model.Incarnation(frame.GetIncarnation())
 	for _, wire := range frame.GetMessages() {
 		if m, err := decode(wire); err == nil {
-			s.listener.PeerMessage(from, incarnation, m)
+			s.listener.PeerMessage(from, incarnation, bound(m))
 		}
 	}
 }
--- a/internal/reducer/rendezvous/rendezvous.go
+++ b/internal/reducer/rendezvous/rendezvous.go
@@ -26,7 +26,7 @@
 	slices.SortFunc(ranked, func(a, b weighted) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.host, b.host))
 	})
-	top := make([]model.HostID, min(count, len(ranked)))
+	top := make([]model.HostID, max(0, min(count, len(ranked))))
 	for i := range top {
 		top[i] = ranked[i].host
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/hawthorntack/hawthorntack/internal/bounded"
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
@@ -425,10 +426,7 @@
 // parseRetryAfter returns the value of the Retry-After header, which is in seconds, or
 // zero if it is missing or invalid.
 func parseRetryAfter(response *http.Response) time.Duration {
-	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
+	seconds, _ := bounded.ParseWhole(response.Header.Get("Retry-After"), int64(bounded.MaxDuration/time.Second))
 	return time.Duration(seconds) * time.Second
 }
 
@@ -450,7 +448,7 @@
 			Connection: id,
 			Holdings:   status.Holdings,
 			Draining:   status.Draining,
-			InFlight:   status.InFlight,
+			InFlight:   bounded.Count(status.InFlight),
 		}, nil
 	}
 	return &exchange{request: request, handle: handle}, nil
