blame: content is blocked for crashes by what all nodes see, and tried in doubt

Cause: a retry counted as a run in isolation, so that upstreams that crashed one after the other condemned what had been lost on the first and retried on the second. The class: blame inferred from one node's view of a crash, without what else the nodes know.

A run to the end clears content, also a moment before the crash; a second crash condemns only if no upstream that did not run the content crashed at the time and no other suspect ran beside it; in doubt content is tried, one attempt at a time, by one node after the other. Nodes tell each other of crashes, trials and clearances directly. A first block lasts 20 s instead of ten minutes, further ones four times as long each.

The simulation of upstreams ends all connections of one that crashes.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -322,7 +322,8 @@
 	Latest model.Revision
 }
 
-// Suspicion reports to all nodes that a request may have crashed an upstream.
+// Suspicion reports to all nodes that a request may have crashed an upstream. Without an upstream it
+// tells that the sender begins to try suspected content.
 type Suspicion struct {
 	Service     model.ServiceName
 	Fingerprint model.Fingerprint
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -55,6 +55,7 @@
 		{"registry_outdated_entries_total", "", "Entries of upstreams that are older than one seen before."},
 		{"relay_abandoned_attempts_total", "", "Attempts at an upstream that nobody waited for any more."},
 		{"relay_callers_gone_total", "", "Routed requests whose caller closed them."},
+		{"relay_crashes_total", "kind", "Crashes of upstreams under requests, by whether they are evidence against the content."},
 		{"relay_delegations_total", "", "Subqueries sent to a node of another failure domain."},
 		{"relay_extra_attempts_denied_total", "kind", "Hedges and retries that were due and not sent for want of budget."},
 		{"relay_failed_connects_total", "", "Connections to upstreams that could not be opened."},
--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -24,6 +24,15 @@
 
 const component = "edge"
 
+// Content that crashes upstreams comes again for a long time, and each end of a block lets it crash
+// another one.
+const (
+	// firstBlock is how long content is blocked at first, and blockGrowth the factor by which
+	// each further block is longer.
+	firstBlock  = 20 * time.Second
+	blockGrowth = 4
+)
+
 // Settings are the settings of one node.
 type Settings struct {
 	// Self describes the node; its State is ignored.
@@ -78,6 +87,7 @@
 		randomSource: rand.NewPCG(0, 0),
 	}
 	s.self.State = model.Starting
+	s.quarantine.Configure(quarantine.Settings{FirstBlock: firstBlock, BlockGrowth: blockGrowth})
 	s.relay = relay.New(settings.Relay, s.quarantine, s.registry)
 	s.registry.SetObserver(s.relay)
 	s.ctx = step.Context{Random: rand.New(s.randomSource), View: noPeers{}, Timers: &s.timers, Config: &model.Config{}}
@@ -185,6 +195,10 @@
 		s.relay.HandleSubqueryReport(ctx, e.From, m)
 	case message.RateReports:
 		s.relay.HandleRateReports(ctx, e.From, m)
+	case message.Suspicion:
+		s.relay.HandleSuspicion(ctx, m)
+	case message.Unblock:
+		s.relay.HandleUnblock(ctx, m)
 	case message.SubqueryCancel:
 		s.relay.HandleSubqueryCancel(ctx, e.From, m)
 	}
@@ -204,7 +218,7 @@
 	}
 	s.relay.HandleObservations(ctx, changes.Observations)
 	for _, suspicion := range changes.Suspicions {
-		s.quarantine.HandleSuspicion(ctx, suspicion)
+		s.relay.HandleSuspicion(ctx, suspicion)
 	}
 	s.serveWhenReady(ctx)
 }
--- a/internal/reducer/quarantine/quarantine.go
+++ b/internal/reducer/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
@@ -39,6 +40,8 @@
 	suspicionDuration = 2 * time.Minute
 	// initialBlockDuration is how long the first block of a request's content lasts.
 	initialBlockDuration = 10 * time.Minute
+	// defaultBlockGrowth is the factor by which a renewed block is longer than the last one.
+	defaultBlockGrowth = 2
 	// maxBlockDuration bounds the duration of a renewed block.
 	maxBlockDuration = 24 * time.Hour
 	// crashesToBlock is the number of crashes that block a request's content. The
@@ -71,6 +74,11 @@
 	// Disabled disables suspicions and blocks on crash evidence; blocks set by operators
 	// still apply. Experiments use it as their baseline.
 	Disabled bool
+	// FirstBlock is how long the first block of a request's content lasts, and BlockGrowth the
+	// factor by which each further one is longer. At zero they are initialBlockDuration and
+	// defaultBlockGrowth.
+	FirstBlock  time.Duration
+	BlockGrowth int
 }
 
 // content identifies a request's service and content.
@@ -206,11 +214,34 @@
 	record.suspectUntil = max(record.suspectUntil, ctx.Now.Add(suspicionDuration))
 	ctx.Count(metricSuspicions, string(c.service))
 	if alone && record.crashCount >= crashesToBlock {
-		s.block(ctx, c, record, attempt, record.nextBlockDuration())
+		s.block(ctx, c, record, attempt, s.nextBlockDuration(record))
 	}
 	return true
 }
 
+// Block blocks a request's content that a caller with more evidence than this package
+// condemns, because of the crash in an attempt's result. It returns the message that reports
+// the block, and false if there are too many records.
+func (s *State) Block(ctx *step.Context, service model.ServiceName, fingerprint model.Fingerprint, result message.DispatchResult) (message.Suspicion, bool) {
+	c := content{service, fingerprint}
+	s.recordCrash(ctx, c, result.Upstream, result.Attempt, false)
+	record := s.records[c]
+	if record == nil {
+		return message.Suspicion{}, false
+	}
+	s.block(ctx, c, record, result.Attempt, s.nextBlockDuration(record))
+	return s.suspicionMessage(ctx, c, result.Upstream, result.Attempt, true), true
+}
+
+// BlockedUntil returns the end of the block of a request's content on crash evidence, or zero
+// if there is none.
+func (s *State) BlockedUntil(service model.ServiceName, fingerprint model.Fingerprint) model.Instant {
+	if record := s.records[content{service, fingerprint}]; record != nil {
+		return record.blockedUntil
+	}
+	return 0
+}
+
 // addCrash stores a crash and reports whether it is new.
 func (r *contentRecord) addCrash(attempt model.AttemptID) bool {
 	for _, known := range r.crashes {
@@ -225,13 +256,13 @@
 	return true
 }
 
-// nextBlockDuration returns the duration of the next block, twice that of the
+// nextBlockDuration returns the duration of the next block, a multiple of that of the
 // previous one.
-func (r *contentRecord) nextBlockDuration() time.Duration {
+func (s *State) nextBlockDuration(r *contentRecord) time.Duration {
 	if r.blockDuration == 0 {
-		return initialBlockDuration
+		return cmp.Or(s.settings.FirstBlock, initialBlockDuration)
 	}
-	return min(maxBlockDuration, 2*r.blockDuration)
+	return min(maxBlockDuration, time.Duration(cmp.Or(s.settings.BlockGrowth, defaultBlockGrowth))*r.blockDuration)
 }
 
 // block refuses a request's content for the given duration and keeps it suspect for
@@ -244,7 +275,7 @@
 	record.blockingCrash = attempt
 	record.blockDuration = duration
 	record.blockedUntil = max(record.blockedUntil, ctx.Now.Add(duration))
-	record.suspectUntil = max(record.suspectUntil, record.blockedUntil.Add(duration))
+	record.suspectUntil = max(record.suspectUntil, record.blockedUntil.Add(max(duration, suspicionDuration)))
 	s.updateHash(ctx)
 }
 
--- a/internal/reducer/relay/connection.go
+++ b/internal/reducer/relay/connection.go
@@ -125,8 +125,11 @@
 	if c.state == connecting {
 		s.connectFailed(ctx, pool, e)
 	}
-	if e.Mismatch {
+	switch {
+	case e.Mismatch:
 		ctx.Count(metricMismatched, "")
+	case c.state == idle || c.state == busy:
+		s.recordConnectionLost(ctx, pool)
 	}
 	if a := c.attempt; a != nil {
 		s.handleLostAttempt(ctx, c, a, e)
--- a/internal/reducer/relay/describe.go
+++ b/internal/reducer/relay/describe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/blame"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/dispatch/limit"
 )
 
@@ -24,11 +25,13 @@
 	Connections int  `json:"connections"`
 	// Delegations counts the open subqueries that this node sent, and Subqueries those
 	// that it received.
-	Delegations int                   `json:"delegations"`
-	Subqueries  int                   `json:"subqueries"`
-	Helpers     []HelperDescription   `json:"helpers"`
-	Routes      []RouteDescription    `json:"routes"`
-	Upstreams   []UpstreamDescription `json:"upstreams"`
+	Delegations int `json:"delegations"`
+	Subqueries  int `json:"subqueries"`
+	// Blame describes the contents that are suspected of crashing upstreams.
+	Blame     blame.Description     `json:"blame"`
+	Helpers   []HelperDescription   `json:"helpers"`
+	Routes    []RouteDescription    `json:"routes"`
+	Upstreams []UpstreamDescription `json:"upstreams"`
 }
 
 // HelperDescription describes a node that may run subqueries.
@@ -79,7 +82,7 @@
 	d := Description{
 		EntryNodes: s.sharing.entryNodes, OtherNodes: s.sharing.otherNodes, IsEntryNode: s.sharing.isEntry,
 		Requests: len(s.requests), Attempts: len(s.attempts), Connections: len(s.connections),
-		Delegations: len(s.delegations), Subqueries: len(s.subqueries),
+		Delegations: len(s.delegations), Subqueries: len(s.subqueries), Blame: s.blame.Describe(now),
 	}
 	for host, h := range s.helpers {
 		d.Helpers = append(d.Helpers, HelperDescription{Host: host, FailureDomain: h.member.FailureDomain, Paused: !h.isUsable(now)})
--- a/internal/reducer/relay/offer.go
+++ b/internal/reducer/relay/offer.go
@@ -216,7 +216,7 @@
 	if p.state != partOpen || p.openAttempts == 0 {
 		return
 	}
-	if !r.config.Repeatable && p.possibleRuns > 0 || p.possibleRuns >= r.config.MaxAttempts {
+	if !r.config.Repeatable && p.possibleRuns > 0 || p.possibleRuns >= r.config.MaxAttempts || s.blame.IsHeld(ctx.Now, r.content()) {
 		return
 	}
 	p.hedgeAt = ctx.Now.Add(s.hedgeDelay(r))
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/message"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/outcome"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/blame"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quarantine"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query/latency"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/query/replica"
@@ -40,6 +41,7 @@
 	metricLost         effect.Metric = "relay_lost_replies_total"
 	metricCallersGone  effect.Metric = "relay_callers_gone_total"
 	metricMisdirected  effect.Metric = "relay_misdirected_total"
+	metricCrashes      effect.Metric = "relay_crashes_total"
 	metricMismatched   effect.Metric = "relay_mismatched_replies_total"
 	metricResends      effect.Metric = "relay_resends_total"
 	metricConnectFails effect.Metric = "relay_failed_connects_total"
@@ -67,6 +69,7 @@
 type State struct {
 	settings          Settings
 	quarantine        *quarantine.State
+	blame             *blame.State
 	suspicionReporter SuspicionReporter
 	replicas          *replica.Table
 	sharing           sharing
@@ -102,6 +105,9 @@
 
 	// reportsRates is true while the timer of the reports on limited upstreams is set.
 	reportsRates bool
+	// tells counts the messages about crashes since tellsSince.
+	tells      int
+	tellsSince model.Instant
 	// timerLag tracks how late the timers of requests fire.
 	timerLag latency.Tracker
 	// attemptsSent counts the attempts that were sent to upstreams.
@@ -118,6 +124,7 @@
 	return &State{
 		settings:          settings,
 		quarantine:        q,
+		blame:             blame.New(),
 		suspicionReporter: suspicions,
 		replicas:          replica.NewTable(),
 		sharing:           newSharing(),
@@ -237,6 +244,7 @@
 	poolTimer
 	warmTimer
 	rateTimer
+	verdictTimer
 	timerKindCount
 )
 
@@ -246,7 +254,7 @@
 }
 
 // HandleTimer handles the timers of requests, abandoned attempts, upstream pools, the opening
-// of connections ahead of requests and the reports on limited upstreams.
+// of connections ahead of requests, the reports on limited upstreams and the verdicts on crashes.
 func (s *State) HandleTimer(ctx *step.Context, id uint64) {
 	number := id / uint64(timerKindCount)
 	switch timerKind(id % uint64(timerKindCount)) {
@@ -263,5 +271,7 @@
 		s.handleWarmTimer(ctx)
 	case rateTimer:
 		s.handleRateTimer(ctx)
+	case verdictTimer:
+		s.judgeCrashes(ctx)
 	}
 }
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -170,6 +170,9 @@
 	if s.quarantine.Check(ctx, model.ServiceName(config.Name), r.fingerprint) == quarantine.Blocked {
 		return nil, &refusal{failure: model.Failf(model.CodeQuarantined, "this content crashes upstreams"), retryAfter: quarantineRetryAfter, route: config.Name}
 	}
+	if wait := s.trialWait(ctx, r); wait > 0 {
+		return nil, &refusal{failure: model.Failf(model.CodeQuarantined, "this content may crash upstreams"), retryAfter: wait, route: config.Name}
+	}
 	r.setTimes(matched.budget.spent(ctx.Now, e.Request.Timeout), s.lag())
 	if s.outlastsStop(r) {
 		return nil, &refusal{failure: model.Failf(model.CodeStopping, "the node is stopping"), retryAfter: minRetryAfter, route: config.Name}
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -66,8 +66,7 @@
 	elapsed := ctx.Now.Sub(a.sentAt)
 	switch e.Status {
 	case event.ForwardAnswered:
-		r := a.request
-		s.quarantine.HandleAnswered(ctx, model.ServiceName(r.config.Name), r.fingerprint, pool.registration.Upstream.ID)
+		s.recordRun(ctx, pool, a.request)
 		s.replicas.Observe(pool.registration.Upstream.ID, ctx.Now, elapsed)
 		if !a.abandoned {
 			a.request.route.latency.Observe(elapsed)
@@ -95,6 +94,8 @@
 	default:
 		if e.Status == event.ForwardInvalid {
 			ctx.Count(metricInvalid, "")
+		} else {
+			s.recordRun(ctx, pool, a.request)
 		}
 		pool.limit.Failed(ctx.Now, a.sentAt)
 		pool.recordOutcome(ctx.Now, true)
--- a/internal/reducer/relay/retry.go
+++ b/internal/reducer/relay/retry.go
@@ -28,6 +28,7 @@
 	deniedTime          retryDenial = "no time left"
 	deniedUpstreams     retryDenial = "no other upstream"
 	deniedBudget        retryDenial = "budget"
+	deniedSuspect       retryDenial = "suspected of crashes"
 )
 
 // retry offers a part to another upstream after a failure, within the service's budget.
@@ -75,6 +76,8 @@
 	switch {
 	case !status.NotRun() && !r.config.Repeatable:
 		return nil, deniedNotRepeatable
+	case !status.NotRun() && s.blame.IsHeld(ctx.Now, r.content()):
+		return nil, deniedSuspect
 	case p.possibleRuns >= r.config.MaxAttempts || len(p.attempts) >= maxOffers:
 		return nil, deniedAttempts
 	case r.deadline.Sub(ctx.Now) < minRetryTime:
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -31,6 +31,8 @@
 	calls    map[callKey]*call
 	answers  []*call
 	callByID map[string]*call
+	// runTimes holds when upstreams began to run each URI.
+	runTimes map[string][]model.Instant
 	lastCall model.CallID
 	// idleTimeout is the idle timeout that upstreams state in their replies; zero means
 	// none.
@@ -77,6 +79,7 @@
 // simConnection is one connection of a node.
 type simConnection struct {
 	upstream *upstream
+	opened   bool
 	closed   bool
 	attempt  uint64
 	request  *model.ForwardRequest
@@ -104,8 +107,13 @@
 	repeatShare float64
 	// notice is stated in each reply.
 	notice model.Notice
-	// crashOn is the URI on which the upstream crashes; empty means none.
-	crashOn string
+	// crashOn is the URI on which the upstream crashes, crashDelay after it has begun to run the
+	// request; empty means none. It is back restartAfter a crash; zero means never.
+	crashOn      string
+	crashDelay   time.Duration
+	restartAfter time.Duration
+	// starts counts the incarnations.
+	starts int
 
 	running  int
 	queue    []func()
@@ -157,6 +165,7 @@
 		upstreams: make(map[string]*upstream),
 		calls:     make(map[callKey]*call),
 		callByID:  make(map[string]*call),
+		runTimes:  make(map[string][]model.Instant),
 	}
 	for range nodes {
 		n := &node{sim: sim, connections: make(map[model.ConnectionID]*simConnection)}
@@ -295,6 +304,10 @@
 		n.state.HandleSubqueryReport(ctx, from, m)
 	case message.RateReports:
 		n.state.HandleRateReports(ctx, from, m)
+	case message.Suspicion:
+		n.state.HandleSuspicion(ctx, m)
+	case message.Unblock:
+		n.state.HandleUnblock(ctx, m)
 	case message.SubqueryCancel:
 		n.state.HandleSubqueryCancel(ctx, from, m)
 	}
@@ -323,6 +336,7 @@
 			})
 			return
 		}
+		conn.opened = true
 		n.step(func(ctx *step.Context) { n.state.HandleOpened(ctx, event.ConnectionOpened{Connection: e.Connection}) })
 	})
 }
--- a/internal/reducer/relay/simulation_upstream_test.go
+++ b/internal/reducer/relay/simulation_upstream_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hawthorntack/hawthorntack/internal/effect"
@@ -79,15 +82,21 @@
 	if c := sim.findCall(e.Request.ID); c != nil {
 		c.runs[u.service]++
 	}
-	if u.crashOn != "" && u.crashOn == e.Request.URI {
-		u.running = 0
-		u.down = true
-		n.closeConnection(e.Connection, conn, "reset")
+	sim.runTimes[e.Request.URI] = append(sim.runTimes[e.Request.URI], sim.now)
+	start := u.starts
+	if u.crashOn != "" && strings.HasPrefix(e.Request.URI, u.crashOn) {
+		sim.schedule(u.crashDelay, func() {
+			if u.starts == start && !u.down {
+				sim.crash(u)
+			}
+		})
 		return
 	}
 	duration := time.Duration(float64(u.serviceTime) * max(1, u.slowdown) * (0.7 + 0.6*sim.random.Float64()))
-	start := max(sim.now, u.pausedUntil)
-	sim.scheduleAt(start.Add(duration), func() {
+	sim.scheduleAt(max(sim.now, u.pausedUntil).Add(duration), func() {
+		if u.down || u.starts != start {
+			return
+		}
 		u.running--
 		switch {
 		case sim.random.Float64() < u.loseShare:
@@ -101,6 +110,24 @@
 	})
 }
 
+// crash ends an upstream and all connections to it.
+func (sim *simulation) crash(u *upstream) {
+	u.down, u.running, u.queue = true, 0, nil
+	for _, n := range sim.nodes {
+		for _, id := range slices.Sorted(maps.Keys(n.connections)) {
+			if conn := n.connections[id]; conn.upstream == u && conn.opened {
+				n.closeConnection(id, conn, "reset")
+			}
+		}
+	}
+	if u.restartAfter > 0 {
+		sim.schedule(u.restartAfter, func() {
+			u.down = false
+			u.starts++
+		})
+	}
+}
+
 // reply sends a reply, which arrives at the node after the one-way delay.
 func (n *node) reply(e effect.SendForward, conn *simConnection, status event.ForwardStatus) {
 	sim, u := n.sim, conn.upstream
