relay: attempts whose callers have left count as suspects of a crash

Cause: the end of an abandoned attempt's connection was handled before suspicion was considered, and what an upstream runs on after the node closed its connection was not considered at all.

Change: abandoned attempts count, also for 2 s after the node closed their connections; the node looks for the crash if it has no connection left. Crashes under no suspect are told to all nodes, trials are announced, one content of a route at a time, and a trial whose caller leaves keeps its connection until its outcome is known. The first crash is weighed for other causes too, and content that never ran to its end beside a suspect makes its crash doubtful.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -322,8 +322,9 @@
 	Latest model.Revision
 }
 
-// Suspicion reports to all nodes that a request may have crashed an upstream. Without an upstream it
-// tells that the sender begins to try suspected content.
+// Suspicion reports to all nodes that a request may have crashed an upstream. Without a service it
+// tells that an upstream crashed under no suspected content, and without an upstream that the
+// sender begins to try suspected content.
 type Suspicion struct {
 	Service     model.ServiceName
 	Fingerprint model.Fingerprint
--- a/internal/reducer/blame/blame.go
+++ b/internal/reducer/blame/blame.go
@@ -35,6 +35,8 @@
 	trialSpacing = 500 * time.Millisecond
 	// trialInterval is the time between two trials of content if nothing is heard of the first.
 	trialInterval = 1500 * time.Millisecond
+	// maxTrialDoublings bounds how often that time doubles.
+	maxTrialDoublings = 4
 	// trialStagger is how much later each further node may try content, and maxStaggered the
 	// number of nodes up to which that grows.
 	trialStagger = 2 * time.Second
@@ -80,18 +82,26 @@
 	SentAt model.Instant
 }
 
+// IsOwn reports whether this node sent the attempt.
+func (c *Crash) IsOwn() bool { return c.SentAt != 0 }
+
 // record is the history of suspected content.
 type record struct {
 	// crashes lists the upstreams that crashed, without repetition.
 	crashes   []model.UpstreamID
 	lastCrash model.Instant
-	points    int
+	// firstCrash is the time of the first crash until it was checked for another cause; then zero.
+	firstCrash model.Instant
+	points     int
 	// doubtful means that a crash may have had another cause.
 	doubtful bool
 	// held means that the content runs in trials only, because two upstreams of a service have
 	// crashed.
 	held      bool
 	nextTrial model.Instant
+	// openTrials counts the trials that this node has sent since the last outcome of one: their
+	// callers may have left.
+	openTrials int
 	// blockedUntil is the end of the latest block.
 	blockedUntil model.Instant
 	// pending is the crash that awaits its verdict at verdictAt; zero if none does.
@@ -152,6 +162,15 @@
 	}
 }
 
+// RecordTrialSent records that this node has sent a trial of content to an upstream. Each further one
+// without an outcome has to wait twice as long.
+func (s *State) RecordTrialSent(now model.Instant, c Content) {
+	if r := s.records[c]; r != nil {
+		r.nextTrial = now.Add(trialInterval << min(r.openTrials, maxTrialDoublings))
+		r.openTrials++
+	}
+}
+
 // endTrial ends the trial of content whose outcome is known.
 func (s *State) endTrial(c Content) {
 	if s.trials[c.Route].content == c {
@@ -175,8 +194,9 @@
 	return s.log.hasCrash(now, service)
 }
 
-// RecordCrash records a crash and reports whether it is evidence against the content. A crash of
-// this node that is due for a verdict is judged by Judge, VerdictDelay later.
+// RecordCrash records a crash and reports whether it is evidence against the content. A further crash
+// under suspected content is judged by Judge, VerdictDelay later, if it happened in a trial or
+// under an attempt of this node.
 func (s *State) RecordCrash(now model.Instant, crash Crash) bool {
 	if s.hasSeen(crash.Attempt) {
 		return false
@@ -192,7 +212,7 @@
 	}
 	first := len(r.crashes) == 0
 	sentAt := crash.SentAt
-	if sentAt == 0 {
+	if !crash.IsOwn() {
 		sentAt = now
 	}
 	inTrial := crash.Suspected && !first && sentAt >= r.lastCrash.Add(trialSpacing)
@@ -201,14 +221,12 @@
 	}
 	s.endTrial(c)
 	r.add(crash.Upstream)
-	r.lastCrash = now
+	r.lastCrash, r.openTrials = now, 0
 	switch {
-	case first || !crash.Suspected:
-	case crash.SentAt == 0:
-		if inTrial {
-			r.points += doubtfulTrialPoints
-		}
-	case r.verdictAt == 0 || inTrial:
+	case first:
+		r.firstCrash = now
+	case !crash.Suspected:
+	case inTrial, crash.IsOwn() && r.verdictAt == 0:
 		r.pending, r.crashedAt, r.inTrial = crash, now, inTrial
 		r.verdictAt = now.Add(VerdictDelay)
 		if r.points >= condemned {
--- a/internal/reducer/blame/verdict.go
+++ b/internal/reducer/blame/verdict.go
@@ -13,11 +13,13 @@
 	// Condemned means that the content is to be blocked.
 	Condemned bool
 	// Points is the weight of all crashes so far. The other fields are what decided the weight
-	// of this one: whether it happened in a trial, whether another cause is likely, and whether
-	// the content has run to its end on this node before.
+	// of this one: whether it happened in a trial, whether another cause is likely, whether
+	// other content ran on the upstream that may have caused it, and whether the content has
+	// run to its end on this node before.
 	Points    int
 	InTrial   bool
 	Explained bool
+	Shared    bool
 	RanBefore bool
 }
 
@@ -25,8 +27,12 @@
 func (s *State) Judge(now model.Instant) []Verdict {
 	var verdicts []Verdict
 	for c, r := range s.records {
+		if r.firstCrash != 0 && now >= r.firstCrash.Add(VerdictDelay) {
+			r.doubtful = r.doubtful || s.hasOtherCrash(r.firstCrash, r.crashes[0].Service(), c)
+			r.firstCrash = 0
+		}
 		if r.verdictAt != 0 && now >= r.verdictAt {
-			verdicts = append(verdicts, s.judge(now, c, r))
+			verdicts = append(verdicts, s.judge(c, r))
 		}
 	}
 	slices.SortFunc(verdicts, func(a, b Verdict) int {
@@ -36,17 +42,19 @@
 }
 
 // judge weighs the pending crash of a record.
-func (s *State) judge(now model.Instant, c Content, r *record) Verdict {
+func (s *State) judge(c Content, r *record) Verdict {
 	r.verdictAt = 0
-	service := r.pending.Upstream.Service()
+	service, at := r.pending.Upstream.Service(), r.crashedAt
 	v := Verdict{
 		Crash:     r.pending,
 		InTrial:   r.inTrial,
-		Explained: s.hasOtherCrash(r.crashedAt, service, c) || s.ranWithOtherSuspect(r.crashedAt, r.pending.Upstream, c),
-		RanBefore: s.runs.within(now, pastRun, c, service),
+		Explained: s.hasOtherCrash(at, service, c) || s.ranWithOtherSuspect(at, r.pending.Upstream, c),
+		Shared:    s.ranWithUnknown(at, r.pending.Upstream, c),
+		RanBefore: s.runs.within(at, pastRun, c, service),
 	}
+	isDoubtful := v.Explained || v.Shared || v.RanBefore
 	switch {
-	case !v.Explained && !v.RanBefore && !r.doubtful:
+	case !isDoubtful && !r.doubtful:
 		r.points = max(r.points, condemned)
 	case !v.InTrial:
 	case v.Explained:
@@ -54,7 +62,7 @@
 	default:
 		r.points += trialPoints
 	}
-	r.doubtful = r.doubtful || v.Explained || v.RanBefore
+	r.doubtful = r.doubtful || isDoubtful
 	v.Points = r.points
 	v.Condemned = r.points >= condemned
 	return v
@@ -68,6 +76,14 @@
 	})
 }
 
+// ranWithUnknown reports whether other content ran on an upstream when it crashed that has not run
+// to its end on this node lately.
+func (s *State) ranWithUnknown(at model.Instant, upstream model.UpstreamID, c Content) bool {
+	return slices.ContainsFunc(s.log.contents(at, upstream), func(other Content) bool {
+		return other != c && !s.runs.within(at, pastRun, other, upstream.Service())
+	})
+}
+
 // ranWithOtherSuspect reports whether other content that has crashed other upstreams too ran on an
 // upstream when it crashed.
 func (s *State) ranWithOtherSuspect(at model.Instant, upstream model.UpstreamID, c Content) bool {
--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -24,15 +24,6 @@
 
 const component = "edge"
 
-// Content that crashes upstreams comes again for a long time, and each end of a block lets it crash
-// another one.
-const (
-	// firstBlock is how long content is blocked at first, and blockGrowth the factor by which
-	// each further block is longer.
-	firstBlock  = 20 * time.Second
-	blockGrowth = 4
-)
-
 // Settings are the settings of one node.
 type Settings struct {
 	// Self describes the node; its State is ignored.
@@ -87,7 +78,6 @@
 		randomSource: rand.NewPCG(0, 0),
 	}
 	s.self.State = model.Starting
-	s.quarantine.Configure(quarantine.Settings{FirstBlock: firstBlock, BlockGrowth: blockGrowth})
 	s.relay = relay.New(settings.Relay, s.quarantine, s.registry)
 	s.registry.SetObserver(s.relay)
 	s.ctx = step.Context{Random: rand.New(s.randomSource), View: noPeers{}, Timers: &s.timers, Config: &model.Config{}}
--- a/internal/reducer/relay/connection.go
+++ b/internal/reducer/relay/connection.go
@@ -32,6 +32,8 @@
 	pool    *upstreamPool
 	state   connectionState
 	attempt *attempt
+	// startedAt is when the connect began.
+	startedAt model.Instant
 	// expiresAt is when the upstream may close the idle connection, less idleMargin; zero
 	// if unknown.
 	expiresAt model.Instant
@@ -72,7 +74,7 @@
 		return
 	}
 	s.nextConnection++
-	c := &connection{id: s.nextConnection, pool: pool, state: connecting}
+	c := &connection{id: s.nextConnection, pool: pool, state: connecting, startedAt: ctx.Now}
 	pool.connections = append(pool.connections, c)
 	s.connections[c.id] = c
 	ctx.Emit(effect.OpenConnection{Connection: c.id, Upstream: pool.registration.Upstream.ID, Address: pool.registration.Upstream.Address})
@@ -123,7 +125,7 @@
 	delete(s.connections, c.id)
 	pool.connections = slices.DeleteFunc(pool.connections, func(other *connection) bool { return other == c })
 	if c.state == connecting {
-		s.connectFailed(ctx, pool, e)
+		s.connectFailed(ctx, c, e)
 	}
 	switch {
 	case e.Mismatch:
@@ -140,14 +142,15 @@
 
 // connectFailed schedules the next connect with backoff, and moves waiting attempts to
 // other upstreams if no connection is open.
-func (s *State) connectFailed(ctx *step.Context, pool *upstreamPool, e event.ConnectionClosed) {
+func (s *State) connectFailed(ctx *step.Context, c *connection, e event.ConnectionClosed) {
+	pool := c.pool
 	ctx.Count(metricConnectFails, "")
 	if pool.connectBackoff.Failures == 0 {
 		ctx.Log(effect.Warning, component, "upstream lost", append(upstreamFields(pool), effect.Field{Name: "reason", Value: e.Reason})...)
 		pool.recordOutcome(ctx.Now, true)
 	}
 	delay := pool.connectBackoff.Fail(ctx)
-	s.attributeCrash(ctx, pool, true)
+	s.attributeCrash(ctx, pool, ctx.Now.Sub(c.startedAt) <= crashWindow)
 	setTimer(ctx, delay, pool.number, poolTimer)
 	if pool.openConnections() == 0 {
 		s.reassignWaiting(ctx, pool)
@@ -169,7 +172,7 @@
 	pool.removeInFlight(a)
 	a.connection = nil
 	if a.abandoned {
-		s.finishAbandoned(a)
+		s.handleLostAbandoned(ctx, c, a, e)
 		return
 	}
 	if !e.Written {
@@ -185,6 +188,19 @@
 	s.settleAttempt(ctx, a, message.StatusLost, model.CodeUnavailable)
 }
 
+// handleLostAbandoned handles an abandoned attempt whose connection has ended. That nobody waits
+// for its reply does not make it less suspect.
+func (s *State) handleLostAbandoned(ctx *step.Context, c *connection, a *attempt, e event.ConnectionClosed) {
+	s.finishAbandoned(a)
+	switch {
+	case !e.Written || e.Mismatch:
+	case c.state == closing:
+		s.recordAbandonedRun(ctx, c.pool, a)
+	default:
+		s.suspectCrash(ctx, c.pool, a)
+	}
+}
+
 // requeue returns an attempt that was not written to the queue, or offers its part to
 // another upstream if the pool is unusable.
 func (s *State) requeue(ctx *step.Context, pool *upstreamPool, a *attempt) {
--- a/internal/reducer/relay/crash.go
+++ b/internal/reducer/relay/crash.go
@@ -24,12 +24,38 @@
 type pendingCrash struct {
 	lostAt   model.Instant
 	suspects []blame.Crash
+	// abandoned are the attempts whose connections the node closed because nobody waited for
+	// their replies. Some upstreams go on with them.
+	abandoned []abandonedRun
 }
 
+// abandonedRun is an attempt that an upstream may still run although its connection was closed.
+type abandonedRun struct {
+	crash    blame.Crash
+	closedAt model.Instant
+}
+
+const (
+	// abandonedRunTime is how long an upstream may go on with an attempt whose connection was
+	// closed, as far as crashes are concerned.
+	abandonedRunTime = 2 * time.Second
+	// maxAbandonedRuns bounds the attempts that are remembered of one upstream.
+	maxAbandonedRuns = 64
+)
+
 // crashWindow is how long after a lost connection a refused one counts as evidence of a
 // crash. The host of a process that has ended refuses connections within a round trip.
 const crashWindow = 500 * time.Millisecond
 
+// Content that crashes upstreams comes again for a long time, and each end of a block lets it crash
+// another one.
+const (
+	// firstBlock is how long content is blocked at first, and blockGrowth the factor by which
+	// each further block is longer.
+	firstBlock  = 20 * time.Second
+	blockGrowth = 4
+)
+
 // content returns the content of a request.
 func (r *request) content() blame.Content {
 	return blame.Content{Route: model.ServiceName(r.config.Name), Fingerprint: r.fingerprint}
@@ -43,6 +69,42 @@
 	s.connect(ctx, pool)
 }
 
+// recordAbandonedRun remembers an attempt whose connection the node has closed. If its content is
+// suspected, the node connects again, so that it sees a crash at once.
+func (s *State) recordAbandonedRun(ctx *step.Context, pool *upstreamPool, a *attempt) {
+	pool.crash.dropOldRuns(ctx.Now)
+	if len(pool.crash.abandoned) == maxAbandonedRuns {
+		pool.crash.abandoned = pool.crash.abandoned[1:]
+	}
+	pool.crash.abandoned = append(pool.crash.abandoned, abandonedRun{crash: s.crashOf(ctx, pool, a), closedAt: ctx.Now})
+	if s.isKnownSuspect(ctx, a.request) {
+		s.connect(ctx, pool)
+	}
+}
+
+// dropOldRuns forgets the abandoned attempts that have ended by now.
+func (p *pendingCrash) dropOldRuns(now model.Instant) {
+	p.abandoned = slices.DeleteFunc(p.abandoned, func(run abandonedRun) bool { return now.Sub(run.closedAt) > abandonedRunTime })
+}
+
+// take returns and removes the requests that may have crashed an upstream which refuses
+// connections now, and reports whether there is any sign of a crash. Abandoned attempts count if
+// no connection is left: an upstream that runs but takes no more connections keeps its open ones.
+func (p *pendingCrash) take(now model.Instant, openConnections int) (suspects []blame.Crash, crashed bool) {
+	p.dropOldRuns(now)
+	if now.Sub(p.lostAt) <= crashWindow {
+		suspects, crashed = p.suspects, true
+	}
+	if openConnections == 0 {
+		crashed = crashed || len(p.abandoned) > 0
+		for _, run := range p.abandoned {
+			suspects = append(suspects, run.crash)
+		}
+		p.abandoned = nil
+	}
+	return suspects, crashed
+}
+
 // crashOf returns the crash that an attempt may have caused.
 func (s *State) crashOf(ctx *step.Context, pool *upstreamPool, a *attempt) blame.Crash {
 	return blame.Crash{
@@ -54,14 +116,15 @@
 	}
 }
 
-// recordConnectionLost records that a connection ended although the node did not close it. While
-// upstreams of the service crash, it connects again to find out whether this one did too.
+// recordConnectionLost records that a connection ended although the node did not close it. If the
+// upstream may run abandoned attempts, or others of the service crash, it connects again to find
+// out whether this one did too.
 func (s *State) recordConnectionLost(ctx *step.Context, pool *upstreamPool) {
 	if ctx.Now.Sub(pool.crash.lostAt) > crashWindow {
 		pool.crash.suspects = nil
 	}
 	pool.crash.lostAt = ctx.Now
-	if s.blame.HasCrashed(ctx.Now, pool.service.name) {
+	if len(pool.crash.abandoned) > 0 || s.blame.HasCrashed(ctx.Now, pool.service.name) {
 		s.connect(ctx, pool)
 	}
 }
@@ -71,17 +134,25 @@
 	return r.hadLostAttempt || s.blame.IsSuspect(ctx.Now, r.content())
 }
 
-// attributeCrash takes an upstream as crashed if its next connection was refused shortly after
-// one was lost, and reports the requests that it ran.
+// attributeCrash takes an upstream as crashed if a connection is refused shortly after one was lost,
+// or while it may run abandoned attempts, and reports the requests that it ran.
 func (s *State) attributeCrash(ctx *step.Context, pool *upstreamPool, refused bool) {
-	suspects := pool.crash.suspects
+	if !refused {
+		pool.crash.suspects = nil
+		return
+	}
+	suspects, crashed := pool.crash.take(ctx.Now, pool.openConnections())
 	pool.crash.suspects = nil
-	if !refused || ctx.Now.Sub(pool.crash.lostAt) > crashWindow {
+	if !crashed {
 		return
 	}
 	s.blame.RecordUpstreamCrash(ctx.Now, pool.registration.Upstream.ID)
+	told := false
 	for _, crash := range suspects {
-		s.recordCrash(ctx, crash, len(suspects))
+		told = s.recordCrash(ctx, crash, len(suspects)) || told
+	}
+	if !told {
+		s.tellEntryNodes(ctx, message.Suspicion{Upstream: pool.registration.Upstream.ID})
 	}
 	s.checkLostPools(ctx, pool.service)
 	s.judgeCrashes(ctx)
@@ -96,9 +167,10 @@
 	}
 }
 
-// recordCrash records a crash under a request of this node and tells the other nodes. A first
-// crash is reported through the registry at once, and a later one with its verdict.
-func (s *State) recordCrash(ctx *step.Context, crash blame.Crash, suspects int) {
+// recordCrash records a crash under a request of this node. If it is evidence against the content,
+// it tells the other nodes and returns true. A first crash is reported through the registry at
+// once, and a later one with its verdict.
+func (s *State) recordCrash(ctx *step.Context, crash blame.Crash, suspects int) bool {
 	wasSuspect := s.blame.IsSuspect(ctx.Now, crash.Content)
 	isEvidence := s.blame.RecordCrash(ctx.Now, crash)
 	ctx.Log(effect.Warning, component, "upstream crashed under a request",
@@ -111,7 +183,7 @@
 		countField("suspects", suspects))
 	if !isEvidence {
 		ctx.Count(metricCrashes, crashNoEvidence)
-		return
+		return false
 	}
 	ctx.Count(metricCrashes, crashEvidence)
 	m := message.Suspicion{
@@ -123,6 +195,7 @@
 	}
 	s.holdBack(ctx, crash.Content)
 	setTimer(ctx, blame.VerdictDelay, 0, verdictTimer)
+	return true
 }
 
 // The values of the label of metricCrashes.
@@ -154,12 +227,14 @@
 			countField("points", v.Points),
 			effect.Field{Name: "in_trial", Value: strconv.FormatBool(v.InTrial)},
 			effect.Field{Name: "other_cause", Value: strconv.FormatBool(v.Explained)},
+			effect.Field{Name: "other_content", Value: strconv.FormatBool(v.Shared)},
 			effect.Field{Name: "ran_before", Value: strconv.FormatBool(v.RanBefore)})
-		if !v.Condemned {
+		switch {
+		case v.Condemned:
+			s.blockContent(ctx, v.Crash)
+		case v.Crash.IsOwn():
 			s.reportCrash(ctx, v.Crash)
-			continue
 		}
-		s.blockContent(ctx, v.Crash)
 	}
 }
 
@@ -176,7 +251,8 @@
 	s.tellEntryNodes(ctx, m)
 }
 
-// HandleSuspicion handles a crash or a block that another node reports, or a trial that it begins.
+// HandleSuspicion handles a crash, a crash under content, or a block that another node reports, or a
+// trial that it begins.
 // Content that has just run
 // to its end here is not blocked, and the others are told so.
 func (s *State) HandleSuspicion(ctx *step.Context, m message.Suspicion) {
@@ -185,6 +261,13 @@
 		s.blame.RecordTrial(ctx.Now, c)
 		return
 	}
+	if svc := s.services[m.Upstream.Service()]; svc != nil {
+		s.checkLostPools(ctx, svc)
+	}
+	if m.Service == "" {
+		s.blame.RecordUpstreamCrash(ctx.Now, m.Upstream)
+		return
+	}
 	isEvidence := s.blame.RecordCrash(ctx.Now, blame.Crash{Content: c, Upstream: m.Upstream, Attempt: m.Attempt, Suspected: m.RanAlone})
 	if m.Blocked {
 		if s.blame.RanRecently(ctx.Now, c, m.Upstream.Service()) {
@@ -196,6 +279,7 @@
 			s.blame.SetBlocked(ctx.Now, c, m.Upstream, until)
 		}
 	} else if isEvidence {
+		setTimer(ctx, blame.VerdictDelay, 0, verdictTimer)
 		// The verdict is blame's alone.
 		m.RanAlone = false
 		s.quarantine.HandleSuspicion(ctx, m)
--- a/internal/reducer/relay/crash_test.go
+++ b/internal/reducer/relay/crash_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
 // Bounds of the users' rules on content that crashes upstreams.
@@ -54,16 +55,30 @@
 	}
 }
 
-// lateRuns returns the number of runs of a URI later than crashStability after the third crash.
-func (sim *simulation) lateRuns(uri string, crashDelay time.Duration) int {
-	runs := sim.runTimes[uri]
-	if len(runs) < 3 {
+// sendAndLeave sends a request whose caller leaves after a time; zero means that it stays.
+func (sim *simulation) sendAndLeave(n *node, uri string, leaveAfter time.Duration) {
+	c := sim.sendRequest(n, uri, 1500*time.Millisecond)
+	call := sim.lastCall
+	if leaveAfter == 0 {
+		return
+	}
+	sim.schedule(leaveAfter, func() {
+		if sim.calls[callKey{n, call}] == c {
+			delete(sim.calls, callKey{n, call})
+			n.step(func(ctx *step.Context) { n.state.HandleCallerGone(ctx, call) })
+		}
+	})
+}
+
+// lateRuns returns the number of runs of a URI later than crashStability after its third crash.
+func (sim *simulation) lateRuns(uri string) int {
+	crashes := sim.crashTimes[uri]
+	if len(crashes) < 3 {
 		return 0
 	}
-	from := runs[2].Add(crashDelay + crashStability)
 	late := 0
-	for _, at := range runs {
-		if at > from {
+	for _, at := range sim.runTimes[uri] {
+		if at > crashes[2].Add(crashStability) {
 			late++
 		}
 	}
@@ -125,6 +140,39 @@
 	}
 }
 
+// TestCrashingContentOfCallersThatLeave guards against content that crashes each upstream that runs it
+// and is never blocked, because its callers leave before the crash.
+func TestCrashingContentOfCallersThatLeave(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		leave, crashDelay time.Duration
+		drops             bool
+	}{
+		{"before the crash", 60 * time.Millisecond, 100 * time.Millisecond, false},
+		{"at once", time.Millisecond, 5 * time.Millisecond, false},
+		{"long before, and the upstream goes on", 60 * time.Millisecond, 900 * time.Millisecond, false},
+		{"within the grace, and the upstream drops the request later", 60 * time.Millisecond, 300 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const uri = "/one/bad"
+			sim := newSimulation(t, 82, defaultSettings, 4)
+			sim.addService("single", 15, 3, 120*time.Millisecond)
+			sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 2)}})
+			for _, u := range sim.upstreams {
+				u.crashOn, u.crashDelay, u.restartAfter, u.dropsAbandoned = uri, c.crashDelay, 2*time.Second, c.drops
+			}
+			sim.sendContents(4, 20, 25*time.Second)
+			for k := range 100 {
+				sim.schedule(4*time.Second+time.Duration(k)*180*time.Millisecond, func() { sim.sendAndLeave(sim.nodes[k%4], uri, c.leave) })
+			}
+			sim.advance(26 * time.Second)
+			if late := sim.lateRuns(uri); late > maxLateRuns {
+				t.Errorf("the request reached upstreams %d times in all, %d of them later than %v after the third crash", len(sim.runTimes[uri]), late, crashStability)
+			}
+		})
+	}
+}
+
 // crashOrder is a random order of crashes.
 type crashOrder struct {
 	sim        *simulation
@@ -135,7 +183,7 @@
 }
 
 // drawCrashOrder draws an order of crashes: of single upstreams, a failure domain or all of them,
-// with and without content that crashes upstreams.
+// with and without content that crashes upstreams, whose callers stay or leave.
 func drawCrashOrder(r *rapid.T, t *testing.T) *crashOrder {
 	milliseconds := func(low, high int, label string) time.Duration {
 		return time.Duration(rapid.IntRange(low, high).Draw(r, label)) * time.Millisecond
@@ -145,20 +193,31 @@
 	upstreams := rapid.IntRange(3, 12).Draw(r, "upstreams")
 	o.sim.addService("single", upstreams, 3, milliseconds(10, 150, "service time"))
 	o.sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{o.route}})
+	// Entry nodes keep a connection to each upstream.
+	for _, n := range o.sim.nodes {
+		n.step(func(ctx *step.Context) { n.state.Start(ctx) })
+	}
 	o.contents = rapid.IntRange(1, 6).Draw(r, "contents")
 	o.sim.sendContents(o.contents, float64(rapid.IntRange(10, 80).Draw(r, "rate")), crashOrderTime)
 	o.crashDelay = milliseconds(1, 800, "crash delay")
 	restart := milliseconds(1000, 3000, "restart")
+	drops := rapid.Bool().Draw(r, "drops abandoned requests")
 	for _, u := range o.sim.upstreams {
-		u.crashOn, u.crashDelay, u.restartAfter = "/one/bad", o.crashDelay, restart
+		u.crashOn, u.crashDelay, u.restartAfter, u.dropsAbandoned = "/one/bad", o.crashDelay, restart, drops
 	}
 	for i := range rapid.IntRange(0, 2).Draw(r, "guilty") {
 		uri := fmt.Sprintf("/one/bad%d", i)
 		o.guilty = append(o.guilty, uri)
 		pace := milliseconds(150, 1500, "pace")
+		leave := milliseconds(1, 900, "leave")
+		leaveShare := rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(r, "leave share")
 		for k := range int(guiltyTime / pace) {
 			o.sim.schedule(guiltyFrom+time.Duration(k)*pace, func() {
-				o.sim.sendRequest(o.sim.nodes[k%len(o.sim.nodes)], uri, 1500*time.Millisecond)
+				after := leave
+				if o.sim.random.Float64() >= leaveShare {
+					after = 0
+				}
+				o.sim.sendAndLeave(o.sim.nodes[k%len(o.sim.nodes)], uri, after)
 			})
 		}
 	}
@@ -213,7 +272,7 @@
 			}
 		}
 		for _, uri := range o.guilty {
-			if late := o.sim.lateRuns(uri, o.crashDelay); late > maxLateRuns {
+			if late := o.sim.lateRuns(uri); late > maxLateRuns {
 				r.Errorf("%s reached upstreams %d times later than %v after its third crash: %s", uri, late, crashStability, o.runTimes(uri))
 			}
 		}
--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -119,8 +119,9 @@
 	nextConnection model.ConnectionID
 }
 
-// New returns a state without routes and upstreams.
+// New returns a state without routes and upstreams. It sets the durations of blocks.
 func New(settings Settings, q *quarantine.State, suspicions SuspicionReporter) *State {
+	q.Configure(quarantine.Settings{FirstBlock: firstBlock, BlockGrowth: blockGrowth})
 	return &State{
 		settings:          settings,
 		quarantine:        q,
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -175,6 +175,10 @@
 // after that, so that the upstream does not continue to work on an unneeded reply.
 const abandonGrace = 350 * time.Millisecond
 
+// trialGrace takes the place of abandonGrace for held content: the outcome of a trial is needed
+// although its caller has left.
+const trialGrace = 2 * time.Second
+
 // abandon cancels an unsent attempt, or lets the upstream of a sent one finish within
 // abandonGrace.
 func (s *State) abandon(ctx *step.Context, a *attempt) {
@@ -191,7 +195,11 @@
 	a.settled = true
 	a.abandoned = true
 	a.request.parts[a.part].openAttempts--
-	setTimer(ctx, abandonGrace, a.number, attemptTimer)
+	grace := abandonGrace
+	if a.knownSuspect && s.blame.IsHeld(ctx.Now, a.request.content()) {
+		grace = trialGrace
+	}
+	setTimer(ctx, grace, a.number, attemptTimer)
 }
 
 // finishAbandoned deletes an abandoned attempt that has ended.
--- a/internal/reducer/relay/simulation_test.go
+++ b/internal/reducer/relay/simulation_test.go
@@ -33,7 +33,9 @@
 	callByID map[string]*call
 	// runTimes holds when upstreams began to run each URI.
 	runTimes map[string][]model.Instant
-	lastCall model.CallID
+	// crashTimes holds when each URI crashed an upstream.
+	crashTimes map[string][]model.Instant
+	lastCall   model.CallID
 	// idleTimeout is the idle timeout that upstreams state in their replies; zero means
 	// none.
 	idleTimeout time.Duration
@@ -112,6 +114,8 @@
 	crashOn      string
 	crashDelay   time.Duration
 	restartAfter time.Duration
+	// dropsAbandoned means that the upstream stops a request whose connection is closed.
+	dropsAbandoned bool
 	// starts counts the incarnations.
 	starts int
 
@@ -166,6 +170,8 @@
 		calls:     make(map[callKey]*call),
 		callByID:  make(map[string]*call),
 		runTimes:  make(map[string][]model.Instant),
+
+		crashTimes: make(map[string][]model.Instant),
 	}
 	for range nodes {
 		n := &node{sim: sim, connections: make(map[model.ConnectionID]*simConnection)}
--- a/internal/reducer/relay/simulation_upstream_test.go
+++ b/internal/reducer/relay/simulation_upstream_test.go
@@ -86,9 +86,16 @@
 	start := u.starts
 	if u.crashOn != "" && strings.HasPrefix(e.Request.URI, u.crashOn) {
 		sim.schedule(u.crashDelay, func() {
-			if u.starts == start && !u.down {
-				sim.crash(u)
+			if u.starts != start || u.down {
+				return
 			}
+			if u.dropsAbandoned && conn.closed {
+				u.running--
+				sim.startQueued(u)
+				return
+			}
+			sim.crashTimes[e.Request.URI] = append(sim.crashTimes[e.Request.URI], sim.now)
+			sim.crash(u)
 		})
 		return
 	}
--- a/internal/reducer/relay/upstream_pool.go
+++ b/internal/reducer/relay/upstream_pool.go
@@ -295,6 +295,9 @@
 	pool.takeToken(ctx.Now)
 	r := a.request
 	a.knownSuspect = s.isKnownSuspect(ctx, r)
+	if a.knownSuspect && s.blame.IsHeld(ctx.Now, r.content()) {
+		s.blame.RecordTrialSent(ctx.Now, r.content())
+	}
 	if a.isResend() {
 		ctx.Count(metricResends, "")
 	}
