upstream: heads of replies count in the memory of all replies

Cause: one connection's head was bounded at 64 KiB, but not the heads of all connections, and a parsed head of short lines takes about fifteen times its bytes. Bodies had a common bound.

Change: heads count in that bound beyond their first 8 KiB, with sixteen times their bytes, until the reply ends.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -208,7 +208,7 @@
 	defer limited.release()
 	reader := bufio.NewReaderSize(limited, replyBufferBytes)
 	for {
-		limited.allow(maxHeadBytes)
+		limited.allowHead()
 		if _, err := reader.Peek(1); err != nil {
 			c.end(fmt.Errorf("read: %w", err), false)
 			return
@@ -234,7 +234,7 @@
 	if err != nil {
 		return fmt.Errorf("read reply: %w", err)
 	}
-	limited.allow(maxEncodedReplyBytes)
+	limited.allowBody()
 	body, err := readBody(response)
 	if err != nil {
 		return err
--- a/internal/upstream/reply_memory.go
+++ b/internal/upstream/reply_memory.go
@@ -10,9 +10,13 @@
 	// maxLargeReplyBytes bounds the bytes of all large replies that are being received at
 	// the same time. Reading them takes up to about twice as much memory.
 	maxLargeReplyBytes = 32 << 20
-	// smallReplyBytes is the size up to which a reply is received without regard to
-	// maxLargeReplyBytes.
+	// smallReplyBytes is the size up to which a reply's body is received without regard to
+	// maxLargeReplyBytes, and smallHeadBytes that of its head.
 	smallReplyBytes = 64 << 10
+	smallHeadBytes  = replyBufferBytes
+	// headMemoryFactor is the memory that a parsed head takes for each of its bytes, if it has many
+	// short header lines.
+	headMemoryFactor = 16
 )
 
 // ReplyMemoryError reports a reply that was not read to its end because too many large
@@ -53,20 +57,31 @@
 	// left is the number of bytes up to the limit, and limit the limit of the current
 	// part.
 	left, limit int
-	// reserved is the number of bytes of the current part that are counted in memory.
-	reserved int64
+	// free is the number of bytes of the current part that are not counted in memory, and
+	// factor the memory that each further one takes.
+	free, factor int
+	// reserved is the memory that is counted for the reply, in bytes, and head that of its
+	// head, which is held until the end of the reply.
+	reserved, head int64
 }
 
-// allow sets the limit for the next part of a reply, and releases the memory of the last.
-func (r *limitedReader) allow(limit int) {
-	r.left, r.limit = limit, limit
+// allowHead begins a reply: it sets the limit for its head, and releases the memory of the
+// last one.
+func (r *limitedReader) allowHead() {
 	r.release()
+	r.left, r.limit, r.free, r.factor = maxHeadBytes, maxHeadBytes, smallHeadBytes, headMemoryFactor
 }
 
-// release releases the memory of the current part.
+// allowBody begins the body of a reply.
+func (r *limitedReader) allowBody() {
+	r.head = r.reserved
+	r.left, r.limit, r.free, r.factor = maxEncodedReplyBytes, maxEncodedReplyBytes, smallReplyBytes, 1
+}
+
+// release releases the memory of a reply.
 func (r *limitedReader) release() {
 	r.memory.release(r.reserved)
-	r.reserved = 0
+	r.reserved, r.head = 0, 0
 }
 
 // Read implements io.Reader. It returns *ReplyTooLargeError at the limit, and
@@ -77,7 +92,7 @@
 	}
 	n, err := r.source.Read(buffer[:min(len(buffer), r.left)])
 	r.left -= n
-	if excess := int64(r.limit-r.left-smallReplyBytes) - r.reserved; excess > 0 {
+	if excess := r.head + int64(r.limit-r.left-r.free)*int64(r.factor) - r.reserved; excess > 0 {
 		if err := r.memory.reserve(excess); err != nil {
 			return 0, err
 		}
