--- a/internal/reducer/relay/relay.go
+++ b/internal/reducer/relay/relay.go
@@ -105,6 +105,8 @@
 
 	// reportsRates is true while the timer of the reports on limited upstreams is set.
 	reportsRates bool
+	// verdictAt is the time of the last verdict timer that was set.
+	verdictAt model.Instant
 	// tells counts the messages about crashes since tellsSince.
 	tells      int
 	tellsSince model.Instant
