relay: content that several nodes condemn is blocked once

Found when the change was read again: each node judges the crashes of a trial, and one that had just heard of the block of another counted its own as the next one, four times as long (80 s instead of 20 s).

TestVerdictsOfSeveralNodesBlockOnce failed before (blocked for another 1m19.95s).

--- a/internal/reducer/relay/crash_test.go
+++ b/internal/reducer/relay/crash_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthorntack/hawthorntack/internal/model"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/blame"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 )
 
@@ -173,6 +174,25 @@
 	}
 }
 
+// TestVerdictsOfSeveralNodesBlockOnce guards against a block that lasts several times as long because
+// several nodes condemn the same content, one shortly after the other.
+func TestVerdictsOfSeveralNodesBlockOnce(t *testing.T) {
+	sim := newSimulation(t, 83, defaultSettings, 2)
+	sim.register(&model.RouteTable{Version: 1, Routes: []model.Route{singleRoute(true, 1)}})
+	content := blame.Content{Route: "one", Fingerprint: 7}
+	for i, n := range sim.nodes {
+		n.step(func(ctx *step.Context) {
+			n.state.blockContent(ctx, blame.Crash{Content: content, Upstream: "single/u0", Attempt: model.AttemptID{Number: uint64(i + 1)}})
+		})
+		sim.advance(50 * time.Millisecond)
+	}
+	for i, n := range sim.nodes {
+		if left := n.state.quarantine.BlockedUntil(content.Route, content.Fingerprint).Sub(sim.now); left <= 0 || left > firstBlock {
+			t.Errorf("node %d blocks the content for another %v, want at most %v in all", i, left, firstBlock)
+		}
+	}
+}
+
 // crashOrder is a random order of crashes.
 type crashOrder struct {
 	sim        *simulation
--- a/internal/reducer/relay/verdict.go
+++ b/internal/reducer/relay/verdict.go
@@ -107,9 +107,12 @@
 	}
 }
 
-// blockContent blocks condemned content on all nodes.
+// blockContent blocks condemned content on all nodes. Several nodes may come to the same verdict.
 func (s *State) blockContent(ctx *step.Context, crash blame.Crash) {
 	c := crash.Content
+	if s.quarantine.BlockedUntil(c.Route, c.Fingerprint) > ctx.Now {
+		return
+	}
 	m, blocked := s.quarantine.Block(ctx, c.Route, c.Fingerprint, crashResult(crash))
 	if !blocked {
 		return
@@ -120,10 +123,8 @@
 	s.tellEntryNodes(ctx, m)
 }
 
-// HandleSuspicion handles a crash, a crash under content, or a block that another node reports, or a
-// trial that it begins.
-// Content that has just run
-// to its end here is not blocked, and the others are told so.
+// HandleSuspicion handles a crash or a block that another node reports, or a trial that it begins.
+// Content that has just run to its end here is not blocked, and the others are told so.
 func (s *State) HandleSuspicion(ctx *step.Context, m message.Suspicion) {
 	c := blame.Content{Route: m.Service, Fingerprint: m.Fingerprint}
 	if m.Upstream == "" {
