relay: the log line of a crash names the request again

It had lost the request's id when crashes were given to package blame, so that the operations page no longer led from a request to its crash.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -332,7 +332,8 @@
 	// Attempt identifies the crash, so that it is counted only once.
 	Attempt model.AttemptID
 	// RanAlone is true if nothing else ran on the upstream. Only such a crash
-	// can cause a block.
+	// can cause a block. Of requests that are routed by host and path it means that the
+	// content was suspected when the attempt was sent.
 	RanAlone bool `json:"Alone"`
 	// TimeLeft is the remaining duration of the suspicion or block, in nanoseconds.
 	TimeLeft int64
--- a/internal/reducer/blame/blame.go
+++ b/internal/reducer/blame/blame.go
@@ -74,8 +74,10 @@
 type Crash struct {
 	Content  Content
 	Upstream model.UpstreamID
-	// Attempt identifies the run, so that its crash counts once.
-	Attempt model.AttemptID
+	// Attempt identifies the run, so that its crash counts once. RequestID is the caller's
+	// identifier of the request, for logs; it is empty if another node reports the crash.
+	Attempt   model.AttemptID
+	RequestID string
 	// Suspected means that the content was suspected when the attempt was sent.
 	Suspected bool
 	// SentAt is when this node sent the attempt; zero if another node reports the crash.
--- a/internal/reducer/relay/crash.go
+++ b/internal/reducer/relay/crash.go
@@ -98,6 +98,7 @@
 		Content:   a.request.content(),
 		Upstream:  pool.registration.Upstream.ID,
 		Attempt:   model.AttemptID{Host: ctx.Self.Host, Incarnation: ctx.Self.Incarnation, Number: a.number},
+		RequestID: a.request.incoming.ID,
 		Suspected: a.knownSuspect,
 		SentAt:    a.sentAt,
 	}
--- a/internal/reducer/relay/verdict.go
+++ b/internal/reducer/relay/verdict.go
@@ -46,7 +46,7 @@
 		effect.Field{Name: "upstream", Value: string(crash.Upstream)},
 		effect.Field{Name: "route", Value: string(crash.Content.Route)},
 		effect.Field{Name: "fingerprint", Value: crash.Content.Fingerprint.String()},
-		effect.Field{Name: "attempt", Value: crash.Attempt.String()},
+		effect.Field{Name: "request", Value: crash.RequestID},
 		effect.Field{Name: "suspected", Value: strconv.FormatBool(crash.Suspected)},
 		effect.Field{Name: "evidence", Value: strconv.FormatBool(isEvidence)},
 		countField("suspects", suspects))
