--- a/internal/upstream/reply_memory_test.go
+++ b/internal/upstream/reply_memory_test.go
@@ -1,11 +1,6 @@
 package upstream
 
 import (
-	"bufio"
-	"bytes"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -23,34 +18,7 @@
 // largeBodyBytes it sends nothing more and keeps the connection open.
 func startLargeReplies(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	serve := func(socket net.Conn) {
-		defer socket.Close()
-		reader := bufio.NewReader(socket)
-		if _, err := http.ReadRequest(reader); err != nil {
-			return
-		}
-		reply := append([]byte("HTTP/1.1 200 OK\r\n\r\n"), bytes.Repeat([]byte("x"), largeBodyBytes)...)
-		if _, err := socket.Write(reply); err != nil {
-			return
-		}
-		// This waits until the caller closes the connection.
-		_, _ = io.Copy(io.Discard, reader)
-	}
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(socket)
-		}
-	}()
-	return listener.Addr().String()
+	return startUnendedReplies(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", largeBodyBytes))
 }
 
 // TestManyLargeReplies guards against many upstreams in trouble that send bytes without end
