--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -138,10 +138,13 @@
 }
 
 // answerUsually writes the answer of a backend in order.
-func (b *backend) answerUsually(x *exchange) bool {
-	content := b.content(x.id)
-	return x.write("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s\r\nInstance-Load: %s\r\nContent-Length: %d\r\n\r\n%s",
-		x.id, b.signature(x.id), b.load(), len(content), content)
+func (b *backend) answerUsually(x *exchange) bool { return x.write("%s", b.usualAnswer(x.id)) }
+
+// usualAnswer returns the bytes of the answer of a backend in order.
+func (b *backend) usualAnswer(id string) string {
+	content := b.content(id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s\r\nInstance-Load: %s\r\nContent-Length: %d\r\n\r\n%s",
+		id, b.signature(id), b.load(), len(content), content)
 }
 
 // load returns the load that the backend states.
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -34,6 +34,7 @@
 	"false-refusal":   falseRefusal,
 	"half-closed":     halfClosed,
 	"late-drain":      lateDrain,
+	"late-copy":       lateCopy,
 }
 
 func main() {
