--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -31,8 +31,10 @@
 	sequence int
 	left     bool
 	closed   bool
-	waiting  int
-	runs     map[string]int
+	// down is set after a crash until the backend is back.
+	down    bool
+	waiting int
+	runs    map[string]int
 	// arrivals holds when each request arrived.
 	arrivals map[string]time.Time
 	open     map[net.Conn]bool
@@ -59,14 +61,21 @@
 	b.runs = make(map[string]int)
 	b.arrivals = make(map[string]time.Time)
 	b.open = make(map[net.Conn]bool)
-	go b.accept()
+	go b.accept(listener)
 	return nil
 }
 
-// accept accepts connections until the listener is closed.
-func (b *backend) accept() {
+// acceptPause is the time between two looks at whether a backend that is down is back.
+const acceptPause = 20 * time.Millisecond
+
+// accept accepts connections until the listener is closed. A backend that is down accepts none.
+func (b *backend) accept(listener net.Listener) {
 	for {
-		c, err := b.listener.Accept()
+		if b.isDown() {
+			time.Sleep(acceptPause)
+			continue
+		}
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -77,6 +86,20 @@
 	}
 }
 
+// awaitUp waits while the backend is down. Its connections are reset before it is back.
+func (b *backend) awaitUp() {
+	for b.isDown() {
+		time.Sleep(acceptPause)
+	}
+}
+
+// isDown reports whether the backend has crashed and is not back yet.
+func (b *backend) isDown() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.down
+}
+
 // close ends the backend.
 func (b *backend) close() {
 	b.listener.Close()
@@ -102,6 +125,7 @@
 		if err != nil {
 			return
 		}
+		b.awaitUp()
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
@@ -131,10 +155,17 @@
 	b.record.add("run", "backend", b.instance, "id", x.id, "method", x.request.Method, "path", x.request.RequestURI, "body", len(x.body), "times", run)
 	time.Sleep(b.work)
 	defer func() { <-b.tokens }()
-	if b.answer != nil {
-		return b.answer(b, x)
+	if b.isDown() {
+		b.awaitUp()
+		return false
+	}
+	answer := b.answer
+	if answer == nil {
+		return b.answerUsually(x)
 	}
-	return b.answerUsually(x)
+	open := answer(b, x)
+	b.awaitUp()
+	return open
 }
 
 // answerUsually writes the answer of a backend in order.
--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -88,7 +88,7 @@
 		case <-ticker.C:
 			d.mu.Lock()
 			for _, b := range d.backends {
-				if !b.hasLeft() {
+				if !b.hasLeft() && !b.isDown() {
 					d.store.Put(b.key(), b.entry())
 				}
 			}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -35,6 +35,8 @@
 	"half-closed":     halfClosed,
 	"late-drain":      lateDrain,
 	"late-copy":       lateCopy,
+	"dark-crash":      darkCrash,
+	"store-moved":     storeMoved,
 }
 
 func main() {
