relay, registry: log the class of each reply, and why missing upstreams are kept

- attempts name the class and the HTTP status of a reply (failed:503), and the line of a failure that is passed on has its status.
- 'missing upstreams kept' states the time since the last list, whether that list came from a stale read, and how many calls failed since.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -31,12 +31,32 @@
 	ForwardInvalid
 )
 
+// String returns the class as it appears in log lines.
+func (s ForwardStatus) String() string {
+	switch s {
+	case ForwardAnswered:
+		return "answered"
+	case ForwardFailed:
+		return "failed"
+	case ForwardNotRun:
+		return "not_run"
+	case ForwardMisdirected:
+		return "misdirected"
+	case ForwardInvalid:
+		return "invalid"
+	default:
+		return "no_reply"
+	}
+}
+
 // ForwardReply is an upstream's reply to a forwarded request.
 type ForwardReply struct {
 	Connection model.ConnectionID
 	Attempt    uint64
 	Status     ForwardStatus
-	Reply      *model.ForwardedReply
+	// Code is the HTTP status of the reply.
+	Code  int
+	Reply *model.ForwardedReply
 	// Load is the load that the upstream reports, or nil.
 	Load *model.ReportedLoad
 	// Notice is what the upstream states about itself. It is empty in a reply of another
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -163,6 +163,8 @@
 	confirmedAt model.Instant
 	// allowStale is true if the call in flight may return old data.
 	allowStale bool
+	// stale is true while the task's part of the view comes from stale reads.
+	stale bool
 	// failures counts the calls that failed since the last success.
 	failures int
 }
@@ -343,7 +345,8 @@
 		s.noteMembersRegained(ctx.Now)
 	}
 	if state.failures > 0 {
-		state.failures = 0
+		// The result is applied with the count of the failures before it.
+		defer func() { state.failures = 0 }()
 		ctx.Log(effect.Info, component, "the registry answers again", effect.Field{Name: "task", Value: taskNames[t]})
 	}
 	if s.isSuperseded(t, e) {
@@ -365,6 +368,7 @@
 		return changes
 	}
 	state.confirmedAt = readAt
+	state.stale = state.allowStale
 	if state.allowStale {
 		// The revision of old data may be that of the store, and a watch from there would
 		// miss changes.
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -392,6 +392,7 @@
 // useShared postpones the node's own calls until a part from another node is too old.
 func (s *State) useShared(ctx *step.Context, t task, confirmedAt model.Instant) {
 	s.tasks[t].confirmedAt = confirmedAt
+	s.tasks[t].stale = false
 	if limit := confirmedAt.Add(s.maxSharedAge(t)); limit > ctx.Now {
 		s.sharing.sharedUntil[t] = limit
 	}
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/step"
 	"github.com/hawthorntack/hawthorntack/internal/reducer/timer"
@@ -75,13 +77,27 @@
 	u := &s.upstreams
 	before := s.tasks[taskUpstreams].confirmedAt
 	gap := time.Duration(outagePollIntervals * float64(s.settings.PollInterval))
-	if before != 0 && readAt.Sub(before) > gap {
+	afterOutage := before != 0 && readAt.Sub(before) > gap
+	if afterOutage {
 		u.keepMissingUntil = ctx.Now.Add(s.settings.ReregisterTime)
 		ctx.After(s.settings.ReregisterTime, timer.Registry, keptUpstreamsTimer)
 	}
 	u.lastRead = u.dropOutdated(ctx, read)
 	u.hash = hashRegistrations(u.lastRead)
-	return u.use(ctx.Now)
+	changed := u.use(ctx.Now)
+	if missing := len(u.list) - len(u.lastRead); afterOutage && missing > 0 {
+		s.logKept(ctx, missing, readAt.Sub(before))
+	}
+	return changed
+}
+
+// logKept logs that missing registrations are kept. gap is the time since the last list.
+func (s *State) logKept(ctx *step.Context, missing int, gap time.Duration) {
+	ctx.Log(effect.Warning, component, "missing upstreams kept",
+		effect.Field{Name: "missing", Value: strconv.Itoa(missing)},
+		effect.Field{Name: "gap", Value: gap.String()},
+		effect.Field{Name: "stale", Value: strconv.FormatBool(s.tasks[taskUpstreams].stale)},
+		effect.Field{Name: "failures", Value: strconv.Itoa(s.tasks[taskUpstreams].failures)})
 }
 
 // dropKeptUpstreams removes the registrations that are still missing after an outage. The
--- a/internal/reducer/relay/finish.go
+++ b/internal/reducer/relay/finish.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -211,6 +212,9 @@
 		if answer.Outcome != model.Answered {
 			severity = effect.Warning
 		}
+		if answer.Outcome != model.Answered && answer.Reply != nil {
+			fields = append(fields, countField("status", answer.Reply.Status))
+		}
 		if answer.Failure != nil {
 			fields = append(fields,
 				effect.Field{Name: "code", Value: string(answer.Failure.Code)},
@@ -266,6 +270,8 @@
 		text += "/open " + now.Sub(a.sentAt).Round(time.Millisecond).String()
 	case !a.settled:
 		text += "/sent"
+	case a.result != 0:
+		text += "/" + a.result.String() + ":" + strconv.Itoa(a.resultCode)
 	default:
 		text += "/ended"
 	}
--- a/internal/reducer/relay/request.go
+++ b/internal/reducer/relay/request.go
@@ -103,6 +103,10 @@
 	sentOn  model.ConnectionID
 	hedge   bool
 	settled bool
+	// result is the class of the reply and resultCode its HTTP status; both are zero without a
+	// reply.
+	result     event.ForwardStatus
+	resultCode int
 	// refusedIdle means that the upstream refused the attempt although it had free slots.
 	refusedIdle bool
 	// knownSuspect means that the content was already suspected of a crash when the
--- a/internal/reducer/relay/result.go
+++ b/internal/reducer/relay/result.go
@@ -20,6 +20,7 @@
 	s.freeConnection(ctx, c, e)
 	pool.removeInFlight(a)
 	a.connection = nil
+	a.result, a.resultCode = e.Status, e.Code
 	if e.Load != nil {
 		pool.load, pool.loadAt = *e.Load, ctx.Now
 	}
