upstream: a 410 does not prove that an order has not run

An order names no version, so an upstream that fails one with 410 after running it would have been believed, and the order sent elsewhere.

Not seen by a caller.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -382,7 +382,7 @@
 	reply := event.UpstreamReply{
 		Connection: e.Connection,
 		Attempt:    e.Attempt,
-		Status:     classify(response),
+		Status:     classify(e.Kind, response),
 		RetryAfter: parseRetryAfter(response),
 		Draining:   response.Header.Get(DrainingHeader) == "true",
 		Closing:    response.Close,
@@ -405,14 +405,16 @@
 	return reply, nil
 }
 
-// classify maps an HTTP response to a reply class. A refusal counts as not run only if it
-// carries NotRunHeader.
-func classify(response *http.Response) event.UpstreamStatus {
+// classify maps the reply to a request of a kind to a class. A refusal counts as not run only if
+// it carries NotRunHeader, or if it names a version, which an order has not.
+func classify(kind message.Kind, response *http.Response) event.UpstreamStatus {
 	switch response.StatusCode {
 	case http.StatusOK:
 		return event.UpstreamAnswered
 	case http.StatusGone:
-		return event.UpstreamVersionGone
+		if kind == message.KindSearch {
+			return event.UpstreamVersionGone
+		}
 	case StatusCancelled:
 		return event.UpstreamCancelled
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
