registry: a start is not taken for an outage of the store

Cause: missing upstreams are kept after an outage, and an outage was inferred from the time between two lists alone. A host that starts makes a stale read, whose age is unknown and was assumed, and its first real read 2.4 s later.

Change: an outage needs calls that the store left unanswered for 0.5 s. After a stale read the gap counts from the last answer to any call.

--- a/internal/reducer/registry/fixture_test.go
+++ b/internal/reducer/registry/fixture_test.go
@@ -34,9 +34,14 @@
 }
 
 func newFixtureWith(t *testing.T, host string, settings Settings) *fixture {
+	return newFixtureAt(t, host, settings, model.Instant(1000*time.Second))
+}
+
+// newFixtureAt returns a node that starts at a time.
+func newFixtureAt(t *testing.T, host string, settings Settings, now model.Instant) *fixture {
 	f := &fixture{t: t, state: New(settings), open: make(map[effect.RegistryVerb]effect.CallRegistry)}
 	f.ctx = step.Context{
-		Now:    model.Instant(1000 * time.Second),
+		Now:    now,
 		Random: rand.New(rand.NewPCG(1, 1)),
 		Timers: &f.timers,
 		Config: &model.Config{},
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -110,6 +110,9 @@
 	// poll intervals, above which registrations may have expired in an outage of the
 	// store.
 	outagePollIntervals = 2.5
+	// minSilence is how long the store must have failed to answer a task's calls to count as
+	// away: longer than a single failed call and its retry.
+	minSilence = 500 * time.Millisecond
 )
 
 // DefaultSettings returns the settings of a node.
@@ -167,6 +170,9 @@
 	stale bool
 	// failures counts the calls that failed since the last success.
 	failures int
+	// silentSince is when the first call since the last success was to be answered at the
+	// latest; zero if there was none. Updates from another node count as successes.
+	silentSince model.Instant
 }
 
 // State is the registry view of one node. It is not safe for concurrent use.
@@ -175,6 +181,8 @@
 	startedAt     model.Instant
 	lastOperation model.OperationID
 	tasks         [taskCount]taskState
+	// answeredAt is when the store last answered a call of any task, possibly with old data.
+	answeredAt model.Instant
 
 	routes    *model.RouteTable
 	upstreams upstreams
@@ -249,6 +257,9 @@
 	state.nextCallAt = 0
 	state.verb = e.Verb
 	state.allowStale = e.AllowStale
+	if state.silentSince == 0 {
+		state.silentSince = ctx.Now.Add(e.Wait)
+	}
 	e.Operation = s.lastOperation
 	e.Timeout = callTimeout + e.Wait
 	if e.Wait > 0 {
@@ -345,11 +356,12 @@
 		s.noteMembersRegained(ctx.Now)
 	}
 	if state.failures > 0 {
-		// The result is applied with the count of the failures before it.
-		defer func() { state.failures = 0 }()
+		state.failures = 0
 		ctx.Log(effect.Info, component, "the registry answers again", effect.Field{Name: "task", Value: taskNames[t]})
 	}
+	defer func() { s.answeredAt = ctx.Now }()
 	if s.isSuperseded(t, e) {
+		state.silentSince = 0
 		state.watchRevision = state.revision
 		s.scheduleCall(ctx, t, s.callDelay(ctx, t))
 		return Changes{Suspicions: e.Suspicions}
@@ -360,6 +372,7 @@
 	}
 	s.sharing.sharedUntil[t] = 0
 	changes := s.applyResult(ctx, t, e, readAt)
+	state.silentSince = 0
 	state.revision = e.Revision
 	if e.Incomplete {
 		// The rest follows at once. Until then the view is not known to be current.
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -393,6 +393,7 @@
 func (s *State) useShared(ctx *step.Context, t task, confirmedAt model.Instant) {
 	s.tasks[t].confirmedAt = confirmedAt
 	s.tasks[t].stale = false
+	s.tasks[t].silentSince = 0
 	if limit := confirmedAt.Add(s.maxSharedAge(t)); limit > ctx.Now {
 		s.sharing.sharedUntil[t] = limit
 	}
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -75,9 +75,7 @@
 // the registrations in use have changed.
 func (s *State) applyUpstreams(ctx *step.Context, read []model.Registration, readAt model.Instant) bool {
 	u := &s.upstreams
-	before := s.tasks[taskUpstreams].confirmedAt
-	gap := time.Duration(outagePollIntervals * float64(s.settings.PollInterval))
-	afterOutage := before != 0 && readAt.Sub(before) > gap
+	afterOutage := s.isAfterOutage(ctx.Now, readAt)
 	if afterOutage {
 		u.keepMissingUntil = ctx.Now.Add(s.settings.ReregisterTime)
 		ctx.After(s.settings.ReregisterTime, timer.Registry, keptUpstreamsTimer)
@@ -85,19 +83,39 @@
 	u.lastRead = u.dropOutdated(ctx, read)
 	u.hash = hashRegistrations(u.lastRead)
 	changed := u.use(ctx.Now)
-	if missing := len(u.list) - len(u.lastRead); afterOutage && missing > 0 {
-		s.logKept(ctx, missing, readAt.Sub(before))
+	if afterOutage {
+		s.logKept(ctx, readAt)
 	}
 	return changed
 }
 
-// logKept logs that missing registrations are kept. gap is the time since the last list.
-func (s *State) logKept(ctx *step.Context, missing int, gap time.Duration) {
+// isAfterOutage reports whether the store may have been away for so long before readAt that
+// registrations have expired. The time since the last list does not tell that alone: the node
+// may just have started, or have had no reason to ask. The store must have left calls unanswered.
+func (s *State) isAfterOutage(now, readAt model.Instant) bool {
+	task := &s.tasks[taskUpstreams]
+	gap := time.Duration(outagePollIntervals * float64(s.settings.PollInterval))
+	isSilent := task.silentSince != 0 && now.Sub(task.silentSince) >= minSilence
+	return isSilent && task.confirmedAt != 0 && readAt.Sub(s.upstreamsKnownAt()) > gap
+}
+
+// upstreamsKnownAt returns when the node last knew that the store answers: when its list was last
+// confirmed or, if that list comes from a stale read of unknown age, when any call was answered.
+func (s *State) upstreamsKnownAt() model.Instant {
+	if task := &s.tasks[taskUpstreams]; !task.stale {
+		return task.confirmedAt
+	}
+	return s.answeredAt
+}
+
+// logKept logs that missing registrations are kept after an outage.
+func (s *State) logKept(ctx *step.Context, readAt model.Instant) {
+	task := &s.tasks[taskUpstreams]
 	ctx.Log(effect.Warning, component, "missing upstreams kept",
-		effect.Field{Name: "missing", Value: strconv.Itoa(missing)},
-		effect.Field{Name: "gap", Value: gap.String()},
-		effect.Field{Name: "stale", Value: strconv.FormatBool(s.tasks[taskUpstreams].stale)},
-		effect.Field{Name: "failures", Value: strconv.Itoa(s.tasks[taskUpstreams].failures)})
+		effect.Field{Name: "missing", Value: strconv.Itoa(len(s.upstreams.list) - len(s.upstreams.lastRead))},
+		effect.Field{Name: "gap", Value: readAt.Sub(s.upstreamsKnownAt()).String()},
+		effect.Field{Name: "stale", Value: strconv.FormatBool(task.stale)},
+		effect.Field{Name: "silent", Value: ctx.Now.Sub(task.silentSince).String()})
 }
 
 // dropKeptUpstreams removes the registrations that are still missing after an outage. The
