registry: a stale read confirms nothing for other nodes

A reader that has just started told its subscribers the age of its stale list as one poll interval, though stale reads may be seconds old. A node whose list had the same contents took that for a confirmation and put off its own reads of upstreams and routes; one without a list of its own took the stale one as current.

TestStaleReadOfReaderTakenForCurrent failed before (age of the upstreams 1 s after the update, 2 s before). No rule was seen broken by it; the bounds left room (1.9 s of 3 s in the worst order found by reading).

Change: a part of the view that comes from a stale read has no age for others and is left out; a list of known age replaces a stale one; routes are taken if they are newer, and only the version in use is confirmed.

--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -275,18 +275,14 @@
 }
 
 // sendUpdate sends the age of each part of the view, the observations, and the parts
-// that the subscriber lacks.
+// that the subscriber lacks. Lists of which the node has only a stale read are left out.
 func (s *State) sendUpdate(ctx *step.Context, host model.HostID, sub *subscriber, observations []model.Observation) {
 	m := message.RegistryUpdate{
-		RoutesAge:         s.ageOf(ctx, taskRoutes),
-		UpstreamsAge:      s.ageOf(ctx, taskUpstreams),
-		UpstreamsHash:     s.upstreams.hash,
-		UpstreamsRevision: s.tasks[taskUpstreams].revision,
-		MembersAge:        s.ageOf(ctx, taskMembers),
-		MembersHash:       s.members.hash,
-		MembersRevision:   s.tasks[taskMembers].revision,
-		Suspicions:        s.sharing.suspicions,
-		Observations:      observations,
+		RoutesAge:    s.ageOf(ctx, taskRoutes),
+		UpstreamsAge: s.ageOf(ctx, taskUpstreams),
+		MembersAge:   s.ageOf(ctx, taskMembers),
+		Suspicions:   s.sharing.suspicions,
+		Observations: observations,
 	}
 	if s.routes != nil {
 		m.RoutesVersion = s.routes.Version
@@ -294,13 +290,21 @@
 			m.Routes = s.routes
 		}
 	}
-	if m.UpstreamsHash != sub.known.UpstreamsHash {
-		m.Upstreams = s.upstreams.lastRead
+	if m.UpstreamsAge >= 0 {
+		m.UpstreamsHash, m.UpstreamsRevision = s.upstreams.hash, s.tasks[taskUpstreams].revision
+		if m.UpstreamsHash != sub.known.UpstreamsHash {
+			m.Upstreams = s.upstreams.lastRead
+		}
+		sub.known.UpstreamsHash = m.UpstreamsHash
 	}
-	if m.MembersHash != sub.known.MembersHash {
-		m.Members = s.members.list
+	if m.MembersAge >= 0 {
+		m.MembersHash, m.MembersRevision = s.members.hash, s.tasks[taskMembers].revision
+		if m.MembersHash != sub.known.MembersHash {
+			m.Members = s.members.list
+		}
+		sub.known.MembersHash = m.MembersHash
 	}
-	sub.known = message.RegistrySubscribe{RoutesVersion: max(sub.known.RoutesVersion, m.RoutesVersion), UpstreamsHash: m.UpstreamsHash, MembersHash: m.MembersHash}
+	sub.known.RoutesVersion = max(sub.known.RoutesVersion, m.RoutesVersion)
 	ctx.Emit(effect.SendPeer{To: host, Address: sub.address, Message: m})
 }
 
@@ -317,9 +321,9 @@
 }
 
 // ageOf returns the age of a task's part of the view in nanoseconds, negative if the
-// node does not have it.
+// node does not have it or does not know its age, which is that of a stale read.
 func (s *State) ageOf(ctx *step.Context, t task) int64 {
-	if s.tasks[t].confirmedAt == 0 {
+	if s.tasks[t].confirmedAt == 0 || s.tasks[t].stale {
 		return -1
 	}
 	return int64(ctx.Now.Sub(s.tasks[t].confirmedAt))
@@ -330,9 +334,9 @@
 func (s *State) HandleUpdate(ctx *step.Context, m message.RegistryUpdate) Changes {
 	s.sharing.updatedAt = ctx.Now
 	changes := Changes{Suspicions: m.Suspicions, Observations: m.Observations}
-	if m.Routes != nil || s.routes != nil && m.RoutesVersion == s.routes.Version {
+	changes.Routes = s.setRoutesIfNewer(m.Routes)
+	if s.routes != nil && m.RoutesVersion == s.routes.Version {
 		if confirmedAt, newer := s.isNewer(ctx, taskRoutes, m.RoutesAge); newer {
-			changes.Routes = s.setRoutesIfNewer(m.Routes)
 			s.useShared(ctx, taskRoutes, confirmedAt)
 		}
 	} else if s.routes != nil && m.RoutesVersion > s.routes.Version {
@@ -385,8 +389,13 @@
 // that is later than for this node's own.
 func (s *State) isNewer(ctx *step.Context, t task, age int64) (confirmedAt model.Instant, newer bool) {
 	confirmedAt = ctx.Now.Add(-time.Duration(age))
-	own := s.tasks[t].confirmedAt
-	return confirmedAt, age >= 0 && (own == 0 || confirmedAt > own)
+	own := &s.tasks[t]
+	if age < 0 {
+		return confirmedAt, false
+	}
+	// A stale read may be much older than assumed.
+	replacesStale := own.stale && time.Duration(age) <= s.maxSharedAge(t)
+	return confirmedAt, replacesStale || confirmedAt > own.confirmedAt
 }
 
 // useShared postpones the node's own calls until a part from another node is too old.
--- a/internal/reducer/registry/sharing_test.go
+++ b/internal/reducer/registry/sharing_test.go
@@ -301,3 +301,21 @@
 		t.Errorf("the second call starts %v after the reader fell silent, want it within the drain time of %v", took, 3*DefaultPollInterval)
 	}
 }
+
+// TestStaleReadOfReaderTakenForCurrent guards against nodes that do not ask the store for seconds
+// because a reader that has just started confirms their view with a stale read.
+func TestStaleReadOfReaderTakenForCurrent(t *testing.T) {
+	reader := startStale(t, "u1", "u2")
+	update := reader.requestUpdate(t)
+	if update.RoutesAge >= 0 || update.UpstreamsAge >= 0 || update.MembersAge >= 0 || update.Upstreams != nil {
+		t.Errorf("update from a stale read: %+v", update)
+	}
+	f := newFixture(t, "n2")
+	answerInitialReads(f, 1, "u1", "u2")
+	f.advance(2 * time.Second)
+	age := f.state.UpstreamsAge(f.ctx.Now)
+	f.step(func() { f.state.HandleUpdate(&f.ctx, update) })
+	if got := f.state.UpstreamsAge(f.ctx.Now); got != age {
+		t.Errorf("age of the upstreams %v after the update, %v before", got, age)
+	}
+}
