registry: an upstream that is found again after an outage is not kept

TestKeptUpstreamThatLeaves failed before. Change: a registration that a list has contained since the outage is no longer among the kept ones.

--- a/internal/reducer/registry/outage_test.go
+++ b/internal/reducer/registry/outage_test.go
@@ -78,3 +78,19 @@
 		t.Errorf("upstreams after the freeze: %s", got)
 	}
 }
+
+// TestKeptUpstreamThatLeaves guards against an upstream that registers again after an outage, then
+// leaves, and is still used because others are kept: its entry has not expired.
+func TestKeptUpstreamThatLeaves(t *testing.T) {
+	f := newFixture(t, "n1")
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 5, Upstreams: registrations("u1", "u2", "u3")})
+	f.advance(DefaultPollInterval / 2)
+	f.answer(effect.WatchUpstreams, event.RegistryResult{Status: event.StoreUnknown})
+	f.advance(3 * DefaultPollInterval)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Revision: 9, Upstreams: registrations("u1", "u2")})
+	f.advance(DefaultPollInterval / 2)
+	f.answer(effect.WatchUpstreams, event.RegistryResult{Revision: 10, RemovedUpstreams: []string{"u2"}})
+	if got := f.upstreamNames(); got != "u1 u3 " {
+		t.Errorf("upstreams after the outage: %s", got)
+	}
+}
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -25,8 +25,10 @@
 	// list holds the registrations of byID, ordered by identifier.
 	list []model.Registration
 	// keepMissingUntil is the time until which registrations that are missing after an
-	// outage are kept, zero if none are.
+	// outage are kept, zero if none are. kept holds those that were in use before the outage and
+	// that no list has contained since.
 	keepMissingUntil model.Instant
+	kept             map[model.UpstreamID]model.Registration
 	// seen holds the newest entry of each instance.
 	seen map[string]*seenEntry
 }
@@ -78,6 +80,7 @@
 	afterOutage := s.isAfterOutage(ctx.Now, readAt)
 	if afterOutage {
 		u.keepMissingUntil = ctx.Now.Add(s.settings.ReregisterTime)
+		u.kept = maps.Clone(u.byID)
 		ctx.After(s.settings.ReregisterTime, timer.Registry, keptUpstreamsTimer)
 	}
 	u.lastRead = u.dropOutdated(ctx, read)
@@ -112,7 +115,7 @@
 func (s *State) logKept(ctx *step.Context, readAt model.Instant) {
 	task := &s.tasks[taskUpstreams]
 	ctx.Log(effect.Warning, component, "missing upstreams kept",
-		effect.Field{Name: "missing", Value: strconv.Itoa(len(s.upstreams.list) - len(s.upstreams.lastRead))},
+		effect.Field{Name: "missing", Value: strconv.Itoa(len(s.upstreams.kept))},
 		effect.Field{Name: "gap", Value: readAt.Sub(s.upstreamsKnownAt()).String()},
 		effect.Field{Name: "stale", Value: strconv.FormatBool(task.stale)},
 		effect.Field{Name: "silent", Value: ctx.Now.Sub(task.silentSince).String()})
@@ -138,8 +141,12 @@
 		registration.Sequence = 0
 		next[registration.Upstream.ID] = registration
 	}
+	for id := range next {
+		// A registration that goes missing after it was found again has not expired.
+		delete(u.kept, id)
+	}
 	if now < u.keepMissingUntil {
-		addMissing(next, u.byID)
+		addMissing(next, u.kept)
 	}
 	if maps.Equal(next, u.byID) {
 		return false
