upstream: a request counts as written before its connection may end

Beside a late copy of the last answer a connection may end between the choice of the next request and its write.

Change: the request is encoded first; that it is pending and that its write begins are set in one step. A connection that ends between them reports a request that may have been written.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -120,24 +120,14 @@
 // start writes a request without blocking. It returns false if the connection has ended,
 // which was reported without the request. A failed write closes the connection.
 func (c *connection) start(e *exchange) bool {
-	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
+	encoded, err := e.encode()
+	if !c.setPending(e, err == nil) {
 		return false
 	}
-	c.pending = e
-	e.reused = c.used
-	c.used = true
-	c.writeStarted = false
-	c.writeCompleted = false
-	c.mu.Unlock()
-
-	encoded, err := e.encode()
 	if err != nil {
 		go c.end(fmt.Errorf("encode request: %w", err), false)
 		return true
 	}
-	c.markWriteStarted()
 	written := c.tryWrite(encoded)
 	if written == len(encoded) {
 		c.markWriteCompleted()
@@ -147,6 +137,23 @@
 	return true
 }
 
+// setPending makes a request the pending one. It returns false if the connection has ended. If the
+// request is about to be written, it counts as written from now on: the connection may end, and
+// report it, before the write.
+func (c *connection) setPending(e *exchange, writes bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.pending = e
+	e.reused = c.used
+	c.used = true
+	c.writeStarted = writes
+	c.writeCompleted = false
+	return true
+}
+
 // tryWrite writes as much as the socket accepts at once and returns the number of bytes.
 // The rest, or the error, is left to writeRest.
 func (c *connection) tryWrite(content []byte) int {
@@ -194,14 +201,6 @@
 	return encoded.Bytes(), nil
 }
 
-// markWriteStarted records that writing begins. From then on the upstream may have
-// received the request, even if the write fails.
-func (c *connection) markWriteStarted() {
-	c.mu.Lock()
-	c.writeStarted = true
-	c.mu.Unlock()
-}
-
 // read handles replies until the connection ends.
 func (c *connection) read() {
 	limited := &limitedReader{source: c.socket, memory: c.memory}
