registry: the era of the store goes before its revisions

Revisions and leases are given out again, and Store-Era rises by one.

All revisions and leases in the reducer's state belong to the newest era known; a result of an older era, or of a watch or lease call that began in one, is discarded. Nodes tell each other the era. In a new era everything is read anew, by readers at once and by others unless their reader sends its lists first; the announcement is written under a new lease; missing upstreams are kept until they can have been written again; an upstream known to be gone is believed only once it writes.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -76,6 +76,9 @@
 	// Revision is the registry's revision at the time of the reply or, if the reply is
 	// Incomplete, that of its last change.
 	Revision uint64
+	// Era is the registry's era, which rises when it comes back from an older copy of its data and
+	// gives revisions out again. It is set for failed calls too, and zero if the reply stated none.
+	Era uint64
 	// Incomplete is set if the registry may have more changes than fit into the reply to
 	// a watch.
 	Incomplete bool
--- a/internal/message/registry.go
+++ b/internal/message/registry.go
@@ -13,6 +13,8 @@
 	MembersHash   uint64
 	// Observations are the sender's observations of upstreams since its last message.
 	Observations []model.Observation
+	// Era is the newest era of the registry that the sender has seen, zero if it has seen none.
+	Era uint64
 }
 
 // RegistryUpdate carries a node's registry view, or the parts of it that have changed.
@@ -39,4 +41,8 @@
 	// Observations are the upstream observations of the nodes in the sender's failure
 	// domain.
 	Observations []model.Observation
+	// Era is the registry's era to which the revisions and lists belong, zero if unknown, and
+	// EraAge how long ago it may have begun, in nanoseconds.
+	Era    uint64
+	EraAge int64
 }
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -52,6 +52,7 @@
 		{"quarantine_refusals_total", "service", "Requests refused for their content."},
 		{"quarantine_suspicions_total", "service", "Request contents under suspicion."},
 		{"registry_calls_total", "task", "Calls to the registry, by what they are made for."},
+		{"registry_eras_total", "", "Returns of the registry from an older copy of its data."},
 		{"registry_outdated_entries_total", "", "Entries of upstreams that are older than one seen before."},
 		{"relay_abandoned_attempts_total", "", "Attempts at an upstream that nobody waited for any more."},
 		{"relay_callers_gone_total", "", "Routed requests whose caller closed them."},
--- a/internal/peer/bound.go
+++ b/internal/peer/bound.go
@@ -97,6 +97,7 @@
 
 // boundRegistryUpdate bounds the numbers of a registry view.
 func boundRegistryUpdate(m *message.RegistryUpdate) {
+	m.EraAge = boundAge(m.EraAge)
 	m.RoutesAge, m.UpstreamsAge, m.MembersAge = boundAge(m.RoutesAge), boundAge(m.UpstreamsAge), boundAge(m.MembersAge)
 	if m.Routes != nil {
 		m.Routes.Bound()
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -62,6 +62,7 @@
 			UpstreamsHash: m.Follow.GetUpstreamsSum(),
 			MembersHash:   m.Follow.GetMembersSum(),
 			Observations:  decodeObservations(m.Follow.GetObservations()),
+			Era:           m.Follow.GetEra(),
 		}, nil
 	case *peerpb.Message_Beliefs:
 		return decodeRegistryUpdate(m.Beliefs)
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -59,7 +59,7 @@
 	case message.RegistrySubscribe:
 		out.Body = &peerpb.Message_Follow{Follow: &peerpb.Follow{
 			Address: m.Address, Routes: uint64(m.RoutesVersion), UpstreamsSum: m.UpstreamsHash, MembersSum: m.MembersHash,
-			Observations: encodeObservations(m.Observations),
+			Observations: encodeObservations(m.Observations), Era: m.Era,
 		}}
 	case message.RegistryUpdate:
 		update, err := encodeRegistryUpdate(m)
--- a/internal/peer/registry_update.go
+++ b/internal/peer/registry_update.go
@@ -22,6 +22,8 @@
 		Observations:      encodeObservations(m.Observations),
 		UpstreamsRevision: m.UpstreamsRevision,
 		MembersRevision:   m.MembersRevision,
+		Era:               m.Era,
+		EraAgeNanos:       m.EraAge,
 	}
 	for _, suspicion := range m.Suspicions {
 		out.Suspicions = append(out.Suspicions, encodeSuspicion(suspicion))
@@ -60,6 +62,8 @@
 
 		UpstreamsRevision: m.GetUpstreamsRevision(),
 		MembersRevision:   m.GetMembersRevision(),
+		Era:               m.GetEra(),
+		EraAge:            m.GetEraAgeNanos(),
 	}
 	for _, suspicion := range m.GetSuspicions() {
 		out.Suspicions = append(out.Suspicions, decodeSuspicion(suspicion))
--- a/internal/reducer/registry/order.go
+++ b/internal/reducer/registry/order.go
@@ -26,6 +26,8 @@
 	// removedAt is when the registry was found to list the instance no longer; zero while it
 	// lists it.
 	removedAt model.Instant
+	// isGone means that the instance had left before the registry came back from an older copy.
+	isGone bool
 	// rejected is the newest entry that was taken for outdated, and advances counts how often
 	// such entries were followed by newer ones.
 	rejected model.Registration
@@ -52,6 +54,16 @@
 	return e.advances <= maxAdvances
 }
 
+// isBack reports whether the instance, which was gone before the registry came back from an older
+// copy, writes again. The first entry that is found may be that of the copy.
+func (e *seenEntry) isBack(r model.Registration) bool {
+	if e.rejected.Instance == "" {
+		e.rejected = r
+		return false
+	}
+	return isOlder(&e.rejected, &r)
+}
+
 // supersedes reports whether the entry is newer than a registration of the same instance. The
 // order is not known for an upstream that states no incarnation.
 func (e *seenEntry) supersedes(r model.Registration) bool {
@@ -74,6 +86,8 @@
 		switch {
 		case seen == nil:
 			u.seen[r.Instance] = &seenEntry{registration: r}
+		case seen.isGone && !seen.isBack(r):
+			continue
 		case !seen.supersedes(r) || !seen.reject(r):
 			*seen = seenEntry{registration: r}
 		case seen.removedAt == 0:
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -164,8 +164,14 @@
 	// of this node or by an update from another; for other tasks, when the last call
 	// succeeded. It is zero before the first time.
 	confirmedAt model.Instant
-	// allowStale is true if the call in flight may return old data.
+	// allowStale is true if the call in flight may return old data, and era is the newest era that
+	// was known when the call began.
 	allowStale bool
+	era        uint64
+	// startedAt is when the call in flight or, without one, the last call began.
+	startedAt model.Instant
+	// dueAt is when a store that is not slow has answered that call.
+	dueAt model.Instant
 	// stale is true while the task's part of the view comes from stale reads.
 	stale bool
 	// failures counts the calls that failed since the last success.
@@ -181,6 +187,7 @@
 	startedAt     model.Instant
 	lastOperation model.OperationID
 	tasks         [taskCount]taskState
+	era           era
 	// answeredAt is when the store last answered a call of any task, possibly with old data.
 	answeredAt model.Instant
 
@@ -257,8 +264,11 @@
 	state.nextCallAt = 0
 	state.verb = e.Verb
 	state.allowStale = e.AllowStale
+	state.era = s.era.number
+	state.startedAt = ctx.Now
+	state.dueAt = ctx.Now.Add(e.Wait)
 	if state.silentSince == 0 {
-		state.silentSince = ctx.Now.Add(e.Wait)
+		state.silentSince = state.dueAt
 	}
 	e.Operation = s.lastOperation
 	e.Timeout = callTimeout + e.Wait
@@ -294,7 +304,7 @@
 		}
 		return effect.CallRegistry{Verb: watch, After: revision, Wait: wait}
 	}
-	return effect.CallRegistry{Verb: read, AllowStale: s.isBootstrapping(ctx)}
+	return effect.CallRegistry{Verb: read, AllowStale: s.isBootstrapping(ctx) && !s.era.changed}
 }
 
 // isBootstrapping reports whether the node has just started and does not know its reader
@@ -338,7 +348,13 @@
 func (s *State) HandleResult(ctx *step.Context, e event.RegistryResult) Changes {
 	for t := range s.tasks {
 		if state := &s.tasks[t]; state.operation != 0 && state.operation == e.Operation {
+			// The task counts as busy until it is known whether the result begins an era.
+			discard := s.mustDiscard(ctx, state, e)
 			state.operation = 0
+			if discard {
+				s.discardResult(ctx, task(t))
+				return Changes{}
+			}
 			return s.handleTaskResult(ctx, task(t), e)
 		}
 	}
@@ -485,6 +501,9 @@
 // be lost, so the task reads before it watches again.
 func (s *State) handleFailure(ctx *step.Context, t task, e event.RegistryResult) {
 	state := &s.tasks[t]
+	if e.Status == event.StoreUnknown || e.Status == event.StoreRejected {
+		s.era.knownAt = max(s.era.knownAt, state.startedAt)
+	}
 	state.watchRevision = 0
 	if t == taskLease {
 		s.handleLeaseFailure(e)
--- a/internal/reducer/registry/share.go
+++ b/internal/reducer/registry/share.go
@@ -192,7 +192,7 @@
 // observations, and the version and hashes of its view, so that the reader sends only
 // the parts that differ.
 func (s *State) sendSubscribe(ctx *step.Context, reader model.Member) {
-	m := message.RegistrySubscribe{Address: ctx.Self.PeerAddress, UpstreamsHash: s.upstreams.hash, MembersHash: s.members.hash}
+	m := message.RegistrySubscribe{Address: ctx.Self.PeerAddress, UpstreamsHash: s.upstreams.hash, MembersHash: s.members.hash, Era: s.statedEra()}
 	if s.routes != nil {
 		m.RoutesVersion = s.routes.Version
 	}
@@ -203,6 +203,7 @@
 // HandleSubscribe adds or renews a subscription and sends the subscriber an update with
 // the parts of the view that it lacks.
 func (s *State) HandleSubscribe(ctx *step.Context, from model.HostID, m message.RegistrySubscribe) {
+	s.followEra(ctx, m.Era)
 	sub := s.sharing.subscribers[from]
 	if sub == nil {
 		if len(s.sharing.subscribers) >= maxSubscribers {
@@ -283,6 +284,8 @@
 		MembersAge:   s.ageOf(ctx, taskMembers),
 		Suspicions:   s.sharing.suspicions,
 		Observations: observations,
+		Era:          s.statedEra(),
+		EraAge:       int64(ctx.Now.Sub(s.era.notBefore)),
 	}
 	if s.routes != nil {
 		m.RoutesVersion = s.routes.Version
@@ -333,6 +336,13 @@
 // than the node's own, and never replaces routes by an older version.
 func (s *State) HandleUpdate(ctx *step.Context, m message.RegistryUpdate) Changes {
 	s.sharing.updatedAt = ctx.Now
+	if s.isOlderEra(m.Era) {
+		return Changes{Routes: s.setRoutesIfNewer(m.Routes), Suspicions: m.Suspicions, Observations: m.Observations}
+	}
+	if m.EraAge >= 0 && m.Era > s.era.number {
+		s.era.knownAt = max(s.era.knownAt, ctx.Now.Add(-time.Duration(m.EraAge)))
+	}
+	s.followEra(ctx, m.Era)
 	changes := Changes{Suspicions: m.Suspicions, Observations: m.Observations}
 	changes.Routes = s.setRoutesIfNewer(m.Routes)
 	if s.routes != nil && m.RoutesVersion == s.routes.Version {
@@ -345,6 +355,7 @@
 	if read, usable := s.resolveUpstreams(m); usable {
 		if confirmedAt, newer := s.isNewer(ctx, taskUpstreams, m.UpstreamsAge); newer {
 			changes.Upstreams = s.applyUpstreams(ctx, read, confirmedAt)
+			s.era.knownAt = max(s.era.knownAt, confirmedAt)
 			s.useSharedList(ctx, taskUpstreams, confirmedAt, m.UpstreamsRevision)
 		}
 	}
--- a/internal/reducer/registry/timeline_test.go
+++ b/internal/reducer/registry/timeline_test.go
@@ -53,12 +53,19 @@
 	nodes []*timelineNode
 	// entries holds the times in which each instance is registered.
 	entries map[string][]span
+	// ends holds when instances end, if their entries outlive them.
+	ends map[string]time.Duration
 	// outage is when the store is away. It refuses calls meanwhile or, if it is silent, leaves
 	// them unanswered.
 	outage   span
 	isSilent bool
 	// staleAge is the age of what stale reads return.
 	staleAge time.Duration
+	// restoredAt is when the store comes back from a copy that is copyAge old, and rewrittenAt when
+	// the upstreams have written again.
+	restoredAt, rewrittenAt time.Duration
+	copyAge                 time.Duration
+	hasEras                 bool
 }
 
 const (
@@ -152,12 +159,22 @@
 	if call.AllowStale {
 		at -= l.staleAge
 	}
+	result, done := l.okResult(call, startedAt, at)
+	result.Era = l.era(at)
+	return result, done
+}
+
+// okResult returns the result of a call that the store answers as of a time.
+func (l *timeline) okResult(call effect.CallRegistry, startedAt, at time.Duration) (event.RegistryResult, bool) {
+	if call.Verb == effect.WatchUpstreams && call.After > l.revision(at) {
+		return event.RegistryResult{Status: event.StoreTruncated}, true
+	}
 	switch call.Verb {
 	case effect.ReadRoutes, effect.WatchRoutes:
 		result := event.RegistryResult{Revision: 1, Routes: &model.RouteTable{Version: 1}}
 		return result, call.Wait == 0 || l.now-startedAt >= call.Wait
 	case effect.ReadUpstreams:
-		return event.RegistryResult{Revision: l.revision(at), Upstreams: registrations(l.registered(at)...)}, true
+		return event.RegistryResult{Revision: l.revision(at), Upstreams: l.registrations(at)}, true
 	case effect.WatchUpstreams:
 		return l.changes(call.After), l.revision(at) > call.After || l.now-startedAt >= call.Wait
 	case effect.ReadMembers, effect.WatchMembers:
@@ -181,35 +198,81 @@
 	return names
 }
 
+// era returns the store's era at a time, zero if it states none.
+func (l *timeline) era(at time.Duration) uint64 {
+	switch {
+	case !l.hasEras:
+		return 0
+	case l.isRestored(at):
+		return 2
+	default:
+		return 1
+	}
+}
+
+// isRestored reports whether the store has come back from a copy by a time.
+func (l *timeline) isRestored(at time.Duration) bool { return l.restoredAt != 0 && at >= l.restoredAt }
+
+// isInHistory reports whether the store at a time has the change of an earlier one: not if that was
+// made after the copy, and changes by the return itself are none.
+func (l *timeline) isInHistory(change, at time.Duration) bool {
+	if l.isRestored(at) && change > l.restoredAt-l.copyAge && change <= l.restoredAt {
+		return false
+	}
+	return change <= at
+}
+
 // revision returns the store's revision at a time.
 func (l *timeline) revision(at time.Duration) uint64 {
 	revision := uint64(1)
 	for _, spans := range l.entries {
 		for _, s := range spans {
-			if s.from <= at {
-				revision++
-			}
-			if s.to <= at {
-				revision++
+			for _, change := range []time.Duration{s.from, s.to} {
+				if l.isInHistory(change, at) {
+					revision++
+				}
 			}
 		}
 	}
 	return revision
 }
 
+// registrations returns the entries at a time. Their sequence rises with each heartbeat, and is that
+// of the copy until the upstreams have written again.
+func (l *timeline) registrations(at time.Duration) []model.Registration {
+	list := registrations(l.registered(at)...)
+	for i := range list {
+		written := at
+		if l.isRestored(at) && (at < l.rewrittenAt || l.isLeft(list[i].Instance, l.restoredAt)) {
+			written = l.restoredAt - l.copyAge
+		}
+		list[i].Incarnation = 1
+		list[i].Sequence = uint64((forever + written) / (100 * time.Millisecond))
+	}
+	return list
+}
+
+// isLeft reports whether an instance has ended by a time; its entry may be there nevertheless.
+func (l *timeline) isLeft(instance string, at time.Duration) bool {
+	return l.ends[instance] != 0 && at >= l.ends[instance]
+}
+
 // changes returns the changes after a revision.
 func (l *timeline) changes(after uint64) event.RegistryResult {
 	result := event.RegistryResult{Revision: l.revision(l.now)}
-	registered := l.registered(l.now)
+	registered := l.registrations(l.now)
 	for name, spans := range l.entries {
-		for _, s := range spans {
-			changed := s.from <= l.now && l.revision(s.from) > after || s.to <= l.now && l.revision(s.to) > after
-			switch isRegistered := slices.Contains(registered, name); {
-			case changed && isRegistered:
-				result.Upstreams = append(result.Upstreams, registrations(name)...)
-			case changed:
-				result.RemovedUpstreams = append(result.RemovedUpstreams, name)
-			}
+		isChanged := func(change time.Duration) bool {
+			return l.isInHistory(change, l.now) && l.revision(change) > after
+		}
+		if !slices.ContainsFunc(spans, func(s span) bool { return isChanged(s.from) || isChanged(s.to) }) {
+			continue
+		}
+		at := slices.IndexFunc(registered, func(r model.Registration) bool { return r.Instance == name })
+		if at < 0 {
+			result.RemovedUpstreams = append(result.RemovedUpstreams, name)
+		} else {
+			result.Upstreams = append(result.Upstreams, registered[at])
 		}
 	}
 	return result
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -77,11 +77,14 @@
 // the registrations in use have changed.
 func (s *State) applyUpstreams(ctx *step.Context, read []model.Registration, readAt model.Instant) bool {
 	u := &s.upstreams
-	afterOutage := s.isAfterOutage(ctx.Now, readAt)
+	until, afterOutage := s.takeFirstOfEra()
+	if !afterOutage && s.isAfterOutage(ctx.Now, readAt) {
+		until, afterOutage = ctx.Now.Add(s.settings.ReregisterTime), true
+	}
 	if afterOutage {
-		u.keepMissingUntil = ctx.Now.Add(s.settings.ReregisterTime)
+		u.keepMissingUntil = until
 		u.kept = maps.Clone(u.byID)
-		ctx.After(s.settings.ReregisterTime, timer.Registry, keptUpstreamsTimer)
+		ctx.After(max(0, until.Sub(ctx.Now)), timer.Registry, keptUpstreamsTimer)
 	}
 	u.lastRead = u.dropOutdated(ctx, read)
 	u.hash = hashRegistrations(u.lastRead)
