--- a/internal/reducer/edge/lifecycle.go
+++ b/internal/reducer/edge/lifecycle.go
@@ -149,6 +149,8 @@
 	State     model.MemberState `json:"state"`
 	Version   model.Revision    `json:"version"`
 	RoutesAge string            `json:"routes_age"`
+	// RegistryEra is the newest era of the registry that the node knows, zero if none was stated.
+	RegistryEra uint64 `json:"registry_era"`
 	// UpstreamsAge and MembersAge are the times since these lists were known to be current.
 	UpstreamsAge string         `json:"upstreams_age"`
 	MembersAge   string         `json:"members_age"`
@@ -164,6 +166,7 @@
 	for _, member := range s.guidance.Subset() {
 		d.EntryHosts = append(d.EntryHosts, member.Host)
 	}
+	d.RegistryEra = s.registry.Era()
 	d.RoutesAge = s.registry.RoutesAge(ctx.Now).String()
 	d.UpstreamsAge = s.registry.UpstreamsAge(ctx.Now).String()
 	d.MembersAge = s.registry.MembersAge(ctx.Now).String()
--- a/internal/reducer/registry/era_test.go
+++ b/internal/reducer/registry/era_test.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/hawthorntack/hawthorntack/internal/effect"
+	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/message"
+	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
 // viewAge is the age up to which a node uses a list without a read of its own.
@@ -82,3 +87,53 @@
 		})
 	})
 }
+
+// TestOlderEraIsDiscarded guards against a late result of an older era that replaces newer data, and
+// against a lease of an older era that is renewed: its number may be another node's by now.
+func TestOlderEraIsDiscarded(t *testing.T) {
+	f := newFixture(t, "n1")
+	f.answer(effect.ReadRoutes, event.RegistryResult{Era: 2, Revision: 5, Routes: &model.RouteTable{Version: 1}})
+	f.answer(effect.ReadMembers, event.RegistryResult{Era: 2, Revision: 5})
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Era: 1, Revision: 90, Upstreams: registrations("u1")})
+	if got := f.upstreamNames(); got != "" {
+		t.Errorf("upstreams of an older era: %s", got)
+	}
+	f.advance(2 * retryInterval)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Era: 2, Revision: 5, Upstreams: registrations("u1", "u2")})
+	f.step(func() { f.state.Announce(&f.ctx, member("n1")) })
+	f.answer(effect.Announce, event.RegistryResult{Era: 2, Lease: 7})
+	f.step(func() {
+		list := registrations("u3")
+		f.state.HandleUpdate(&f.ctx, message.RegistryUpdate{Era: 3, Upstreams: list, UpstreamsHash: hashRegistrations(list), UpstreamsRevision: 1})
+	})
+	f.advance(announceSpread)
+	if call, found := f.open[effect.Announce]; !found || call.Lease != 0 {
+		t.Errorf("announcement in flight %t, with lease %d of an older era", found, call.Lease)
+	}
+	f.step(func() {
+		f.state.HandleUpdate(&f.ctx, message.RegistryUpdate{Era: 2, Upstreams: registrations(), UpstreamsHash: 1, UpstreamsRevision: 99})
+	})
+	if got := f.upstreamNames(); got != "u1 u2 u3 " {
+		t.Errorf("upstreams: %s", got)
+	}
+}
+
+// TestFallingEras guards against a node that follows the store no longer because its era, which never
+// falls, was once stated too high.
+func TestFallingEras(t *testing.T) {
+	f := newFixture(t, "n1")
+	answerInitialReads(f, 1, "u1")
+	f.advance(DefaultPollInterval)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Era: 1000, Revision: 5, Upstreams: registrations("u1")})
+	for range maxOlderResults + 2 {
+		f.advance(2 * DefaultPollInterval)
+		for _, verb := range []effect.RegistryVerb{effect.ReadUpstreams, effect.WatchUpstreams} {
+			if _, found := f.open[verb]; found {
+				f.answer(verb, event.RegistryResult{Era: 2, Revision: 6, Upstreams: registrations("u1", "u2")})
+			}
+		}
+	}
+	if got := f.upstreamNames(); got != "u1 u2 " || f.state.statedEra() != 0 {
+		t.Errorf("upstreams %s, stated era %d", got, f.state.statedEra())
+	}
+}
