registry: reports of crashing content are written again in a new era

A block that the copy lacks was known to the nodes that ran then, and to no node that started later: it would have sent the content to upstreams again. TestBlockIsLostWithEra failed before (no report in flight).

--- a/internal/reducer/registry/era.go
+++ b/internal/reducer/registry/era.go
@@ -22,9 +22,10 @@
 	// readerFirst is how long a node waits in a new era for the lists of its reader before it
 	// reads for itself.
 	readerFirst = 400 * time.Millisecond
-	// announceSpread is the range of the random delay of the announcements in a new era, which all
-	// nodes write again.
+	// announceSpread is the range of the random delay of what the nodes write again in a new era.
 	announceSpread = 500 * time.Millisecond
+	// maxCopyAge is the age of a copy from which the registry may come back.
+	maxCopyAge = 30 * time.Second
 	// maxOlderResults is the number of results of older eras in a row that count as late ones. After
 	// more of them the stated eras are taken to be wrong.
 	maxOlderResults = 8
@@ -130,9 +131,10 @@
 	for _, t := range []task{taskRoutes, taskUpstreams, taskMembers} {
 		s.readInNewEra(ctx, t)
 	}
+	s.writeReportsAgain(ctx)
 	if s.lease.member.Host != "" {
 		s.lease.lost = true
-		s.scheduleCall(ctx, taskLease, time.Duration(ctx.Random.Int64N(int64(announceSpread))))
+		s.scheduleCall(ctx, taskLease, announceDelay(ctx))
 	}
 }
 
@@ -149,6 +151,11 @@
 	return begin
 }
 
+// announceDelay returns the random delay of a write that all nodes make.
+func announceDelay(ctx *step.Context) time.Duration {
+	return time.Duration(ctx.Random.Int64N(int64(announceSpread)))
+}
+
 // readInNewEra makes a task read anew: at once if the node reads for itself, and otherwise unless
 // its reader sends a list soon.
 func (s *State) readInNewEra(ctx *step.Context, t task) {
@@ -181,7 +188,7 @@
 		s.startCall(ctx, t)
 	case taskLease:
 		s.lease.lost = true
-		s.scheduleCall(ctx, t, time.Duration(ctx.Random.Int64N(int64(announceSpread))))
+		s.scheduleCall(ctx, t, announceDelay(ctx))
 	default:
 		s.scheduleCall(ctx, t, s.retryDelay(ctx, t))
 	}
--- a/internal/reducer/registry/era_test.go
+++ b/internal/reducer/registry/era_test.go
@@ -137,3 +137,22 @@
 		t.Errorf("upstreams %s, stated era %d", got, f.state.statedEra())
 	}
 }
+
+// TestBlockIsLostWithEra guards against a block of content that nodes which start do not learn of,
+// because the store has come back from a copy without it.
+func TestBlockIsLostWithEra(t *testing.T) {
+	f := newFixture(t, "n1")
+	answerInitialReads(f, 1, "u1")
+	f.advance(DefaultPollInterval)
+	f.answer(effect.ReadUpstreams, event.RegistryResult{Era: 1, Revision: 5, Upstreams: registrations("u1")})
+	block := message.Suspicion{Service: "s", Fingerprint: 7, Blocked: true, TimeLeft: int64(20 * time.Second)}
+	f.step(func() { f.state.ReportSuspicion(&f.ctx, block) })
+	f.answer(effect.ReportSuspicion, event.RegistryResult{Era: 1})
+	f.advance(2 * time.Second)
+	f.step(func() { f.state.HandleUpdate(&f.ctx, message.RegistryUpdate{Era: 2, UpstreamsAge: -1}) })
+	f.advance(announceSpread)
+	call, found := f.open[effect.ReportSuspicion]
+	if left := time.Duration(call.Suspicion.TimeLeft); !found || left > 18*time.Second || left < 17*time.Second {
+		t.Errorf("report in flight %t, %v left of the block", found, left)
+	}
+}
--- a/internal/reducer/registry/members.go
+++ b/internal/reducer/registry/members.go
@@ -202,6 +202,37 @@
 	}
 }
 
+// writtenReport is a suspicion that was written to the registry.
+type writtenReport struct {
+	suspicion message.Suspicion
+	at        model.Instant
+}
+
+// noteWritten moves the oldest pending report to those that were written.
+func (s *State) noteWritten(now model.Instant) {
+	if len(s.written) == maxPendingReports {
+		s.written = s.written[1:]
+	}
+	s.written = append(s.written, writtenReport{suspicion: s.reports[0], at: now})
+	s.reports = s.reports[1:]
+}
+
+// writeReportsAgain queues the reports that a copy of the registry may lack.
+func (s *State) writeReportsAgain(ctx *step.Context) {
+	for _, report := range s.written {
+		age := ctx.Now.Sub(report.at)
+		again := report.suspicion
+		again.TimeLeft -= int64(age)
+		if age <= maxCopyAge && again.TimeLeft > 0 && len(s.reports) < maxPendingReports {
+			s.reports = append(s.reports, again)
+		}
+	}
+	s.written = nil
+	if len(s.reports) > 0 {
+		s.scheduleCall(ctx, taskReport, announceDelay(ctx))
+	}
+}
+
 // ReportSuspicion reports a request that crashed an upstream to the other nodes through
 // the registry.
 func (s *State) ReportSuspicion(ctx *step.Context, suspicion message.Suspicion) {
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -196,7 +196,9 @@
 	members   members
 	lease     lease
 	reports   []message.Suspicion
-	sharing   sharing
+	// written are the latest reports that were written.
+	written []writtenReport
+	sharing sharing
 }
 
 // Changes reports which parts of the view an event has changed.
@@ -477,7 +479,7 @@
 	case taskLease:
 		s.applyLease(e)
 	case taskReport:
-		s.reports = s.reports[1:]
+		s.noteWritten(ctx.Now)
 	}
 	return Changes{}
 }
