model: the service of an upstream is read back as it was decoded

Change: NewUpstreamID escapes slashes and percent signs of the service, and Service reads them back. Services of the configuration with a slash work.

--- a/internal/model/ids.go
+++ b/internal/model/ids.go
@@ -37,12 +37,26 @@
 // ServiceName names a service.
 type ServiceName string
 
-// UpstreamID names an upstream as "service/upstream".
+// UpstreamID names an upstream as "service/upstream". A slash or percent sign in the service is
+// escaped, so that the service can be read back.
 type UpstreamID string
 
+var (
+	escapeService   = strings.NewReplacer("%", "%25", "/", "%2F")
+	unescapeService = strings.NewReplacer("%25", "%", "%2F", "/")
+)
+
+// NewUpstreamID returns the identifier of an upstream of a service, for names with any bytes.
+func NewUpstreamID(service ServiceName, upstream string) UpstreamID {
+	return UpstreamID(escapeService.Replace(string(service)) + "/" + upstream)
+}
+
 // Service returns the service part of the identifier.
 func (id UpstreamID) Service() ServiceName {
 	service, _, _ := strings.Cut(string(id), "/")
+	if strings.Contains(service, "%") {
+		service = unescapeService.Replace(service)
+	}
 	return ServiceName(service)
 }
 
