--- a/internal/reducer/registry/era.go
+++ b/internal/reducer/registry/era.go
@@ -43,6 +43,8 @@
 	// notBefore is the time before which it cannot have begun.
 	isUnconfirmed bool
 	notBefore     model.Instant
+	// heardAt is when the node heard of the change.
+	heardAt model.Instant
 	// olderResults counts the results of older eras since the last one of this era.
 	olderResults int
 	// isIgnored is true once the stated eras have proved wrong.
@@ -123,7 +125,7 @@
 		effect.Field{Name: "upstreams_revision", Value: strconv.FormatUint(s.tasks[taskUpstreams].revision, 10)},
 		effect.Field{Name: "upstreams", Value: strconv.Itoa(len(s.upstreams.list))},
 		effect.Field{Name: "members", Value: strconv.Itoa(len(s.members.list))})
-	s.era = era{number: number, changed: true, isUnconfirmed: true, notBefore: s.earliestBegin(ctx.Now)}
+	s.era = era{number: number, changed: true, isUnconfirmed: true, notBefore: s.earliestBegin(ctx.Now), heardAt: ctx.Now}
 	s.upstreams.markGone()
 	if s.tasks[taskMembers].confirmedAt != 0 {
 		s.members.doubtfulUntil = ctx.Now.Add(s.settings.SpareLeaseTime + leaseMargin)
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -77,11 +77,12 @@
 // the registrations in use have changed.
 func (s *State) applyUpstreams(ctx *step.Context, read []model.Registration, readAt model.Instant) bool {
 	u := &s.upstreams
-	until, afterOutage := s.takeFirstOfEra()
-	if !afterOutage && s.isAfterOutage(ctx.Now, readAt) {
-		until, afterOutage = ctx.Now.Add(s.settings.ReregisterTime), true
-	}
+	until, firstOfEra := s.takeFirstOfEra()
+	afterOutage := !firstOfEra && s.isAfterOutage(ctx.Now, readAt)
 	if afterOutage {
+		until = ctx.Now.Add(s.settings.ReregisterTime)
+	}
+	if firstOfEra || afterOutage {
 		u.keepMissingUntil = until
 		u.kept = maps.Clone(u.byID)
 		ctx.After(max(0, until.Sub(ctx.Now)), timer.Registry, keptUpstreamsTimer)
@@ -89,7 +90,10 @@
 	u.lastRead = u.dropOutdated(ctx, read)
 	u.hash = hashRegistrations(u.lastRead)
 	changed := u.use(ctx.Now)
-	if afterOutage {
+	switch {
+	case firstOfEra:
+		s.logInStep(ctx)
+	case afterOutage:
 		s.logKept(ctx, readAt)
 	}
 	return changed
@@ -114,6 +118,17 @@
 	return s.answeredAt
 }
 
+// logInStep logs that the first list of an era is in use.
+func (s *State) logInStep(ctx *step.Context) {
+	ctx.Log(effect.Info, component, "upstreams known in the new era",
+		effect.Field{Name: "era", Value: strconv.FormatUint(s.era.number, 10)},
+		effect.Field{Name: "elapsed", Value: ctx.Now.Sub(s.era.heardAt).String()},
+		effect.Field{Name: "upstreams", Value: strconv.Itoa(len(s.upstreams.lastRead))},
+		effect.Field{Name: "kept", Value: strconv.Itoa(len(s.upstreams.kept))},
+		effect.Field{Name: "kept_for", Value: s.upstreams.keepMissingUntil.Sub(ctx.Now).String()},
+		effect.Field{Name: "reports_pending", Value: strconv.Itoa(len(s.reports))})
+}
+
 // logKept logs that missing registrations are kept after an outage.
 func (s *State) logKept(ctx *step.Context, readAt model.Instant) {
 	task := &s.tasks[taskUpstreams]
