--- a/internal/reducer/registry/era.go
+++ b/internal/reducer/registry/era.go
@@ -51,13 +51,13 @@
 	isIgnored bool
 }
 
-// mustDiscard reports whether a result means nothing: it belongs to an older era, or to a call that
-// began in one and whose revision or lease stands for something else now. A result of a newer era
-// begins that era.
-func (s *State) mustDiscard(ctx *step.Context, call *taskState, e event.RegistryResult) bool {
+// admitResult begins the era of a result if that is a newer one, and reports whether the result still
+// means something: it does not if it belongs to an older era, or to a call that began in one and
+// whose revision or lease stands for something else now.
+func (s *State) admitResult(ctx *step.Context, call *taskState, e event.RegistryResult) bool {
 	if s.isOlderEra(e.Era) {
 		s.countOlder(ctx, call, e.Era)
-		return true
+		return false
 	}
 	if e.Era != 0 {
 		// The call was answered, so its start is no evidence of an earlier era or an outage.
@@ -67,7 +67,7 @@
 	if e.Era != 0 && !call.allowStale {
 		s.era.olderResults, s.era.knownAt = 0, ctx.Now
 	}
-	return call.era != s.era.number && call.era != 0 && !call.isRead()
+	return call.era == 0 || call.era == s.era.number || call.isRead()
 }
 
 // countOlder counts a result of an older era. An era never falls, but a store that states it wrongly
@@ -176,8 +176,8 @@
 	s.startCall(ctx, t)
 }
 
-// discardResult continues a task whose result was discarded. A lease is announced anew; there is
-// nothing to repeat of a report.
+// discardResult continues a task whose result was not admitted. The lists are read anew, the node is
+// announced under a new lease, and a report is written again.
 func (s *State) discardResult(ctx *step.Context, t task) {
 	state := &s.tasks[t]
 	switch t {
--- a/internal/reducer/registry/era_test.go
+++ b/internal/reducer/registry/era_test.go
@@ -21,36 +21,32 @@
 // afterwards, though their revisions have been given out before.
 func TestViewAfterStoreReturnsFromCopy(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		draw := func(label string, from, to time.Duration) time.Duration {
-			const step = 10 * time.Millisecond
-			return step * time.Duration(rapid.IntRange(int(from/step), int(to/step)).Draw(r, label))
-		}
 		l := &timeline{t: t, entries: make(map[string][]span), ends: make(map[string]time.Duration), hasEras: true}
-		l.staleAge = draw("stale age", 0, 5*time.Second)
+		l.staleAge = drawTime(r, "stale age", 0, 5*time.Second)
 		l.isSilent = rapid.Bool().Draw(r, "silent")
-		l.restoredAt = draw("restored", 8*time.Second, 14*time.Second)
-		l.copyAge = draw("copy age", 0, 6*time.Second)
-		l.outage = span{from: l.restoredAt - draw("away", 0, 2*time.Second), to: l.restoredAt}
-		l.rewrittenAt = l.restoredAt + draw("rewritten", 0, 2*time.Second)
+		l.restoredAt = drawTime(r, "restored", 8*time.Second, 14*time.Second)
+		l.copyAge = drawTime(r, "copy age", 0, 6*time.Second)
+		l.outage = span{from: l.restoredAt - drawTime(r, "away", 0, 2*time.Second), to: l.restoredAt}
+		l.rewrittenAt = l.restoredAt + drawTime(r, "rewritten", 0, 2*time.Second)
 		copied := l.restoredAt - l.copyAge
 		l.entries["stays"] = []span{{from: -forever, to: forever}}
-		left := draw("left", 5*time.Second, l.restoredAt)
+		left := drawTime(r, "left", 5*time.Second, l.restoredAt)
 		l.ends["left"] = left
 		l.entries["left"] = []span{{from: -forever, to: left}}
 		if left > copied {
 			l.entries["left"] = []span{{from: -forever, to: left}, {from: l.restoredAt, to: l.restoredAt + 3600*time.Millisecond}}
 		}
-		joined := draw("joined", 5*time.Second, l.restoredAt)
+		joined := drawTime(r, "joined", 5*time.Second, l.restoredAt)
 		l.entries["joined"] = []span{{from: joined, to: forever}}
 		if joined > copied {
 			l.entries["joined"] = []span{{from: joined, to: l.restoredAt}, {from: l.rewrittenAt, to: forever}}
 		}
-		leaves := l.restoredAt + draw("leaves", 10*time.Millisecond, 6*time.Second)
+		leaves := l.restoredAt + drawTime(r, "leaves", 10*time.Millisecond, 6*time.Second)
 		l.entries["leaves"] = []span{{from: -forever, to: leaves}}
-		comes := l.restoredAt + draw("comes", 10*time.Millisecond, 6*time.Second)
+		comes := l.restoredAt + drawTime(r, "comes", 10*time.Millisecond, 6*time.Second)
 		l.entries["comes"] = []span{{from: comes, to: forever}}
 		for _, name := range []string{"n1", "n2", "n3"}[:rapid.IntRange(1, 3).Draw(r, "nodes")] {
-			l.add(name, span{from: draw("start", 0, 10*time.Second), to: forever}, span{from: forever, to: forever})
+			l.add(name, span{from: drawTime(r, "start", 0, 10*time.Second), to: forever}, span{from: forever, to: forever})
 		}
 		seen := make(map[*timelineNode]map[string]bool)
 		sawEnd := make(map[*timelineNode]bool)
--- a/internal/reducer/registry/registry.go
+++ b/internal/reducer/registry/registry.go
@@ -351,13 +351,17 @@
 	for t := range s.tasks {
 		if state := &s.tasks[t]; state.operation != 0 && state.operation == e.Operation {
 			// The task counts as busy until it is known whether the result begins an era.
-			discard := s.mustDiscard(ctx, state, e)
+			isAdmitted := s.admitResult(ctx, state, e)
 			state.operation = 0
-			if discard {
+			if !isAdmitted {
 				s.discardResult(ctx, task(t))
 				return Changes{}
 			}
-			return s.handleTaskResult(ctx, task(t), e)
+			changes := s.handleTaskResult(ctx, task(t), e)
+			if e.Status == event.StoreOK {
+				s.answeredAt = ctx.Now
+			}
+			return changes
 		}
 	}
 	return Changes{}
@@ -377,7 +381,6 @@
 		state.failures = 0
 		ctx.Log(effect.Info, component, "the registry answers again", effect.Field{Name: "task", Value: taskNames[t]})
 	}
-	defer func() { s.answeredAt = ctx.Now }()
 	if s.isSuperseded(t, e) {
 		state.silentSince = 0
 		state.watchRevision = state.revision
--- a/internal/reducer/registry/timeline_test.go
+++ b/internal/reducer/registry/timeline_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/hawthorntack/hawthorntack/internal/effect"
 	"github.com/hawthorntack/hawthorntack/internal/event"
 	"github.com/hawthorntack/hawthorntack/internal/message"
@@ -18,6 +20,12 @@
 // contains reports whether a time lies in the span.
 func (s span) contains(at time.Duration) bool { return at >= s.from && at < s.to }
 
+// drawTime draws a time in steps of 10 ms.
+func drawTime(r *rapid.T, label string, from, to time.Duration) time.Duration {
+	const step = 10 * time.Millisecond
+	return step * time.Duration(rapid.IntRange(int(from/step), int(to/step)).Draw(r, label))
+}
+
 // forever is later than the end of every timeline.
 const forever = time.Hour
 
--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -160,7 +160,7 @@
 		next[registration.Upstream.ID] = registration
 	}
 	for id := range next {
-		// A registration that goes missing after it was found again has not expired.
+		// One that goes missing after it was found again has left, not expired.
 		delete(u.kept, id)
 	}
 	if now < u.keepMissingUntil {
--- a/internal/reducer/registry/view_test.go
+++ b/internal/reducer/registry/view_test.go
@@ -21,34 +21,30 @@
 // serves after its entry was removed, and that none loses an upstream that is there.
 func TestViewOfNode(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		draw := func(label string, from, to time.Duration) time.Duration {
-			const step = 10 * time.Millisecond
-			return step * time.Duration(rapid.IntRange(int(from/step), int(to/step)).Draw(r, label))
-		}
 		l := &timeline{t: t, entries: make(map[string][]span), outage: span{from: forever, to: forever}}
-		l.staleAge = draw("stale age", 0, 5*time.Second)
+		l.staleAge = drawTime(r, "stale age", 0, 5*time.Second)
 		l.isSilent = rapid.Bool().Draw(r, "silent")
 		if rapid.Bool().Draw(r, "outage") {
-			l.outage.from = draw("outage", 0, 10*time.Second)
-			l.outage.to = l.outage.from + draw("outage length", 0, 6*time.Second)
+			l.outage.from = drawTime(r, "outage", 0, 10*time.Second)
+			l.outage.to = l.outage.from + drawTime(r, "outage length", 0, 6*time.Second)
 		}
-		left := draw("left", 0, 14*time.Second)
+		left := drawTime(r, "left", 0, 14*time.Second)
 		l.entries["leaves"] = []span{{from: -forever, to: left}}
 		l.entries["stays"] = []span{{from: -forever, to: forever}}
-		lapses := span{from: l.outage.from + draw("lapses", 2400*time.Millisecond, 3600*time.Millisecond), to: l.outage.to + draw("returns", 0, 2*time.Second)}
+		lapses := span{from: l.outage.from + drawTime(r, "lapses", 2400*time.Millisecond, 3600*time.Millisecond), to: l.outage.to + drawTime(r, "returns", 0, 2*time.Second)}
 		l.entries["lapses"] = []span{{from: -forever, to: forever}}
 		if lapses.from < l.outage.to {
 			l.entries["lapses"] = []span{{from: -forever, to: lapses.from}, {from: lapses.to, to: forever}}
 		}
 		for _, name := range []string{"n1", "n2", "n3"}[:rapid.IntRange(1, 3).Draw(r, "nodes")] {
-			alive := span{from: draw("start", 0, 10*time.Second), to: forever}
+			alive := span{from: drawTime(r, "start", 0, 10*time.Second), to: forever}
 			frozen := span{from: forever, to: forever}
 			switch rapid.IntRange(0, 2).Draw(r, "end") {
 			case 0:
-				alive.to = alive.from + draw("end", 0, 10*time.Second)
+				alive.to = alive.from + drawTime(r, "end", 0, 10*time.Second)
 			case 1:
-				frozen.from = alive.from + draw("freeze", 0, 8*time.Second)
-				frozen.to = frozen.from + draw("freeze length", 0, 5*time.Second)
+				frozen.from = alive.from + drawTime(r, "freeze", 0, 8*time.Second)
+				frozen.to = frozen.from + drawTime(r, "freeze length", 0, 5*time.Second)
 			}
 			l.add(name, alive, frozen)
 		}
