model: identifiers of upstreams are made in one place

Statements, the demo, the deployments and the lab joined service and upstream by hand, beside NewUpstreamID. Names there hold no slash or percent sign (nameSyntax), so the identifiers are the same; their tests pass unchanged.

--- a/internal/demo/control.go
+++ b/internal/demo/control.go
@@ -30,7 +30,7 @@
 
 // findUpstream returns the upstream that a request names, or an HTTP error 404.
 func (s *StandIns) findUpstream(c echo.Context) (*backend.Upstream, error) {
-	id := model.UpstreamID(c.Param("service") + "/" + c.Param("upstream"))
+	id := model.NewUpstreamID(model.ServiceName(c.Param("service")), c.Param("upstream"))
 	for i, known := range s.upstreamIDs() {
 		if known == id {
 			return s.Upstreams[i], nil
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -76,7 +76,7 @@
 func (d Deployment) service(name model.ServiceName, group Group, place Placement) (model.Service, error) {
 	service := model.Service{Name: name, User: d.User, Policy: group.Policy}
 	for i := range group.Shape.Upstreams {
-		id := model.UpstreamID(fmt.Sprintf("%s/u%d", name, i+1))
+		id := model.NewUpstreamID(name, fmt.Sprintf("u%d", i+1))
 		address, err := place(id, group.Shape, Holdings(name, FirstVersion))
 		if err != nil {
 			return model.Service{}, fmt.Errorf("place upstream %s: %w", id, err)
--- a/internal/experiment/lab/cluster.go
+++ b/internal/experiment/lab/cluster.go
@@ -124,7 +124,7 @@
 // UpstreamID returns the identifier of the i-th replica of a service, both counted
 // from zero.
 func UpstreamID(service, i int) model.UpstreamID {
-	return model.UpstreamID(fmt.Sprintf("%s/u%d", Service(service), i+1))
+	return model.NewUpstreamID(Service(service), fmt.Sprintf("u%d", i+1))
 }
 
 // FullHolding returns a holding of the whole key space as a single shard.
--- a/internal/statement/apply_service.go
+++ b/internal/statement/apply_service.go
@@ -48,7 +48,7 @@
 	e.changedServices[name] = servicePosition
 	for _, upstream := range c.Upstreams {
 		e.setPosition(upstream.Pos)
-		e.addUpstream(name, model.UpstreamID(string(name)+"/"+string(upstream.Name)), upstream.Options)
+		e.addUpstream(name, model.NewUpstreamID(name, string(upstream.Name)), upstream.Options)
 	}
 	e.changedServices[name] = servicePosition
 }
