registry: kept upstreams cost nothing when none are kept

Each list looked up all its upstreams among the kept ones, which stayed in memory after their time. They are pruned only while they are kept, and dropped then.

--- a/internal/reducer/registry/upstreams.go
+++ b/internal/reducer/registry/upstreams.go
@@ -26,7 +26,7 @@
 	list []model.Registration
 	// keepMissingUntil is the time until which registrations that are missing after an
 	// outage are kept, zero if none are. kept holds those that were in use before the outage and
-	// that no list has contained since.
+	// that no list has contained since, until that time.
 	keepMissingUntil model.Instant
 	kept             map[model.UpstreamID]model.Registration
 	// seen holds the newest entry of each instance.
@@ -159,12 +159,15 @@
 		registration.Sequence = 0
 		next[registration.Upstream.ID] = registration
 	}
-	for id := range next {
-		// One that goes missing after it was found again has left, not expired.
-		delete(u.kept, id)
-	}
 	if now < u.keepMissingUntil {
+		// One that goes missing after it was found again has left, not expired.
+		maps.DeleteFunc(u.kept, func(id model.UpstreamID, _ model.Registration) bool {
+			_, found := next[id]
+			return found
+		})
 		addMissing(next, u.kept)
+	} else {
+		u.kept = nil
 	}
 	if maps.Equal(next, u.byID) {
 		return false
