--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -23,10 +24,14 @@
 	grpc     *grpc.Server
 }
 
+// handshakeTimeout bounds the time from a connection's opening to the end of its handshake.
+const handshakeTimeout = 10 * time.Second
+
 // NewServer returns a server that delivers messages to the listener.
 func NewServer(self model.HostID, creds credentials.TransportCredentials, listener Listener) *Server {
 	s := &Server{self: self, listener: listener}
 	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxFrameBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(transportBufferBytes),
 		grpc.WriteBufferSize(transportBufferBytes))
 	peerpb.RegisterPeerServer(s.grpc, s)
