--- a/cmd/hawthorntack/edge.go
+++ b/cmd/hawthorntack/edge.go
@@ -12,6 +12,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/daemon"
 	"github.com/hawthorntack/hawthorntack/internal/logging"
+	"github.com/hawthorntack/hawthorntack/internal/machine"
 	"github.com/hawthorntack/hawthorntack/platform"
 )
 
@@ -47,6 +48,7 @@
 	if err != nil {
 		return &UsageError{Setting: "--settings", Reason: err.Error()}
 	}
+	machine.LimitHeap(settings.Machine.Or(machine.OfSystem()).Memory)
 	d, err := platform.New(platform.Options{
 		Settings:    settings,
 		Incarnation: daemon.NewIncarnation(),
--- a/internal/effect/forward.go
+++ b/internal/effect/forward.go
@@ -86,11 +86,17 @@
 	Ready bool
 }
 
+// LimitRequests applies the operators' limits on callers' requests.
+type LimitRequests struct {
+	Limits model.RequestLimits
+}
+
 // CloseCallerListeners closes the listeners for callers and their idle connections.
 // Open requests continue.
 type CloseCallerListeners struct{}
 
 func (CloseCallerListeners) isEffect() {}
+func (LimitRequests) isEffect()        {}
 func (ReplyForward) isEffect()         {}
 func (SendForward) isEffect()          {}
 func (CallRegistry) isEffect()         {}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -141,7 +141,9 @@
 // room.
 const (
 	readHeaderTimeout = time.Minute
-	idleTimeout       = 2 * time.Minute
+	// idleTimeout exceeds the idle timeouts of all callers, so that the server does not close a
+	// connection on which a caller is sending a request.
+	idleTimeout = 2 * time.Minute
 	// maxNetHTTPHeaderBytes is beyond all limits on heads, which the connections apply themselves.
 	maxNetHTTPHeaderBytes = 1 << 30
 )
--- a/internal/reducer/edge/edge.go
+++ b/internal/reducer/edge/edge.go
@@ -239,6 +239,7 @@
 		return
 	}
 	s.relay.HandleRoutes(ctx, s.pendingRoutes)
+	ctx.Emit(effect.LimitRequests{Limits: s.pendingRoutes.Limits})
 	s.pendingRoutes = nil
 }
 
--- a/internal/runtime/edge.go
+++ b/internal/runtime/edge.go
@@ -30,8 +30,10 @@
 	PeerListener net.Listener
 	// CloseCallerListeners closes the listeners for callers. It must not block.
 	CloseCallerListeners func()
-	Metrics              prometheus.Registerer
-	Log                  *logrus.Logger
+	// SetRequestLimits applies the operators' limits on single requests. It must not block.
+	SetRequestLimits func(model.RequestLimits)
+	Metrics          prometheus.Registerer
+	Log              *logrus.Logger
 	// Seed initializes the generator of the random values in event envelopes.
 	Seed uint64
 }
@@ -116,6 +118,8 @@
 		n.callRegistry(e)
 	case effect.CloseCallerListeners:
 		n.options.CloseCallerListeners()
+	case effect.LimitRequests:
+		n.options.SetRequestLimits(e.Limits)
 	case effect.PublishReady:
 		n.ready.Store(e.Ready)
 	default:
