--- a/internal/model/answer.go
+++ b/internal/model/answer.go
@@ -15,6 +15,7 @@
 	CodeUnknownService   Code = "unknown_service"
 	CodeUnknownRoute     Code = "unknown_route"
 	CodeTooLarge         Code = "too_large"
+	CodeRequestTimeout   Code = "request_timeout"
 	CodeOverloaded       Code = "overloaded"
 	CodeRateLimited      Code = "rate_limited"
 	CodeDeadline         Code = "deadline"
