--- a/internal/runtime/edge.go
+++ b/internal/runtime/edge.go
@@ -32,8 +32,10 @@
 	CloseCallerListeners func()
 	// SetRequestLimits applies the operators' limits on single requests. It must not block.
 	SetRequestLimits func(model.RequestLimits)
-	Metrics          prometheus.Registerer
-	Log              *logrus.Logger
+	// ReplyMemory bounds the bytes of all large replies that arrive from upstreams at the same time.
+	ReplyMemory int64
+	Metrics     prometheus.Registerer
+	Log         *logrus.Logger
 	// Seed initializes the generator of the random values in event envelopes.
 	Seed uint64
 }
@@ -55,6 +57,7 @@
 	n.calls = NewCalls(n.loop.Submit, n.loop.Done())
 	n.pool = upstream.NewPool(nil, n.loop.Submit)
 	n.pool.SetCodec(options.Codec)
+	n.pool.SetReplyMemory(options.ReplyMemory)
 	n.client = peer.NewClient(options.Settings.Self, insecure.NewCredentials(), n)
 	n.server = peer.NewServer(options.Settings.Self.Host, insecure.NewCredentials(), n)
 	return n
--- a/internal/upstream/reply_memory.go
+++ b/internal/upstream/reply_memory.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -8,10 +9,10 @@
 
 const (
 	// maxLargeReplyBytes bounds the bytes of all large replies that are being received at
-	// the same time. Reading them takes up to about twice as much memory.
+	// the same time, if no other bound is set. Reading them takes up to about twice as much memory.
 	maxLargeReplyBytes = 32 << 20
 	// smallReplyBytes is the size up to which a reply's body is received without regard to
-	// maxLargeReplyBytes, and smallHeadBytes that of its head.
+	// that bound, and smallHeadBytes that of its head.
 	smallReplyBytes = 64 << 10
 	smallHeadBytes  = replyBufferBytes
 	// headMemoryFactor is the memory that a parsed head takes for each of its bytes, if it has many
@@ -34,13 +35,22 @@
 // replyMemory counts the bytes of the large replies that the connections of a pool are
 // receiving. Each connection has a limit of its own, but many upstreams in trouble may send
 // bytes without end at the same time. It is safe for concurrent use.
-type replyMemory struct{ used atomic.Int64 }
+type replyMemory struct {
+	used atomic.Int64
+	// limit is set before the pool is used; zero means maxLargeReplyBytes.
+	limit int64
+}
+
+// SetReplyMemory bounds the bytes of all large replies that are being received at the same time. It
+// must be called before the pool is used.
+func (p *Pool) SetReplyMemory(bytes int64) { p.memory.limit = bytes }
 
 // reserve adds bytes, or returns *ReplyMemoryError if there are too many.
 func (m *replyMemory) reserve(n int64) error {
-	if m.used.Add(n) > maxLargeReplyBytes {
+	limit := cmp.Or(m.limit, maxLargeReplyBytes)
+	if m.used.Add(n) > limit {
 		m.used.Add(-n)
-		return &ReplyMemoryError{Limit: maxLargeReplyBytes}
+		return &ReplyMemoryError{Limit: limit}
 	}
 	return nil
 }
