upstream: the attempts of a request share its body

What callers saw: requests with large bodies on a route with several shards, whose upstreams do not read, took a copy of the body for each shard besides what the kernel queued for each connection.

Cause: head and body were encoded into one buffer for each attempt, which was kept until the reply, while the account holds the body once.

Change: only the head is encoded; the body is written from the request's own buffer. Requests of up to 4 KB still go out in one write. Connections to upstreams have a send buffer of 64 KB.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -72,8 +72,10 @@
 	// request determines how the reply is framed. It is also the request to write,
 	// unless encoded is set.
 	request *http.Request
-	// encoded holds the bytes to write, or nil to encode request.
+	// encoded holds the bytes to write, or nil to encode request. body follows them; the attempts of a
+	// request share it.
 	encoded []byte
+	body    []byte
 	// attempt is zero for status reads and cancellations.
 	attempt model.AttemptID
 	// reused is set if the connection has carried another request before.
@@ -128,12 +130,15 @@
 		go c.end(fmt.Errorf("encode request: %w", err), false)
 		return true
 	}
-	written := c.tryWrite(encoded)
-	if written == len(encoded) {
+	rest := [][]byte{encoded, e.body}
+	if len(encoded)+len(e.body) <= smallRequestBytes {
+		rest = [][]byte{append(encoded, e.body...)}
+	}
+	if rest = c.tryWrite(rest); len(rest) == 0 {
 		c.markWriteCompleted()
 		return true
 	}
-	go c.writeRest(encoded[written:])
+	go c.writeRest(rest)
 	return true
 }
 
@@ -154,30 +159,38 @@
 	return true
 }
 
-// tryWrite writes as much as the socket accepts at once and returns the number of bytes.
-// The rest, or the error, is left to writeRest.
-func (c *connection) tryWrite(content []byte) int {
+// tryWrite writes as much as the socket accepts at once and returns what is left. That, or the
+// error, is for writeRest.
+func (c *connection) tryWrite(parts [][]byte) (rest [][]byte) {
 	if c.raw == nil {
-		return 0
+		return parts
 	}
-	written := 0
 	// Both errors show again in the write of the rest.
 	_ = c.raw.Write(func(fd uintptr) bool {
-		n, err := unix.Write(int(fd), content)
-		if err == nil {
-			written = n
+		for len(parts) > 0 {
+			n, err := unix.Write(int(fd), parts[0])
+			if err != nil {
+				break
+			}
+			if n < len(parts[0]) {
+				parts = append([][]byte{parts[0][n:]}, parts[1:]...)
+				break
+			}
+			parts = parts[1:]
 		}
 		return true
 	})
-	return written
+	return parts
 }
 
 // writeRest writes what the socket did not accept at once. If that fails, it closes the
 // connection and reports it.
-func (c *connection) writeRest(content []byte) {
-	if _, err := c.socket.Write(content); err != nil {
-		c.end(fmt.Errorf("write request: %w", err), false)
-		return
+func (c *connection) writeRest(parts [][]byte) {
+	for _, part := range parts {
+		if _, err := c.socket.Write(part); err != nil {
+			c.end(fmt.Errorf("write request: %w", err), false)
+			return
+		}
 	}
 	c.markWriteCompleted()
 }
@@ -298,7 +311,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.writeCompleted && len(e.encoded) > smallRequestBytes {
+	if !c.writeCompleted && len(e.encoded)+len(e.body) > smallRequestBytes {
 		return EarlyReplyError{}
 	}
 	return nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -58,8 +59,9 @@
 // Codec encodes forwarded requests and decodes their replies in the upstreams' own
 // protocol over HTTP/1.1.
 type Codec interface {
-	// Encode returns the bytes of a request, as written to the connection.
-	Encode(e effect.SendForward) []byte
+	// EncodeHead returns the bytes of a request up to its body, as written to the connection. The
+	// body follows unchanged.
+	EncodeHead(e effect.SendForward) []byte
 	// Decode decodes a complete reply. An error means that the reply does not
 	// belong to the request, and closes the connection. reused is true if the connection
 	// has carried another request before, whose reply may arrive again.
@@ -80,7 +82,8 @@
 	}
 	x := &exchange{
 		request: &http.Request{Method: e.Request.Method},
-		encoded: p.codec.Encode(e),
+		encoded: p.codec.EncodeHead(e),
+		body:    e.Request.Body,
 		attempt: attempt,
 	}
 	x.handle = func(response *http.Response, body []byte) (event.Event, error) {
@@ -199,7 +202,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := &net.Dialer{Control: setTCPUserTimeout}
+	dialer := &net.Dialer{Control: setSocketOptions}
 	if p.tls == nil {
 		socket, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
@@ -219,18 +222,23 @@
 // retransmissions of a lost packet take 600 ms.
 const tcpUserTimeout = 700 * time.Millisecond
 
-// setTCPUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects. It is the
-// Control function of the dialer.
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
+// sendBufferBytes bounds what the kernel holds of the requests to an upstream that does not read.
+const sendBufferBytes = 64 << 10
+
+// setSocketOptions sets TCP_USER_TIMEOUT and the send buffer of a socket before it connects. It is
+// the Control function of the dialer.
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		optionErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds())),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes))
 	})
 	if err != nil {
 		return fmt.Errorf("access raw socket: %w", err)
 	}
 	if optionErr != nil {
-		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", optionErr)
+		return fmt.Errorf("set socket options: %w", optionErr)
 	}
 	return nil
 }
