relay: large requests are not delegated to other nodes

What callers saw (suspected, shown on the decision only): a request with a body near 4 MB on a gathered route exceeds the largest frame between nodes, which ends the stream that all requests share; smaller ones queue up, by number and not by bytes, for a node that is slow, after the account has given their room back.

Cause: delegation looked at the time that is left, not at the size.

Change: a request of over 16 KB asks its shards itself.

Evidence: TestLargeRequestsAreNotDelegated fails before ("delegated true, want false") and passes after; the virtual-time loads on delegated shards pass.

--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -132,6 +132,17 @@
 	RoundTrip time.Duration
 }
 
+// Size returns the number of bytes of the request's texts, headers and body.
+func (r *ForwardRequest) Size() int {
+	size := len(r.ID) + len(r.Method) + len(r.Authority) + len(r.URI) + len(r.Body)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // ForwardedReply is an upstream's complete reply, which is returned to the caller
 // unchanged.
 type ForwardedReply struct {
--- a/internal/reducer/relay/delegate.go
+++ b/internal/reducer/relay/delegate.go
@@ -40,6 +40,9 @@
 	// with which parts are delegated. A longer delay means that upstreams fail or are
 	// slow, and then no time is left for the margin.
 	maxHedgeDelayShare = 0.35
+	// maxDelegatedBytes is the largest size of a request that is delegated. Larger ones would
+	// queue up for a node that is slow, and hold up or break the stream that all requests share.
+	maxDelegatedBytes = 16 << 10
 )
 
 // delegation is one open subquery at another node.
@@ -79,9 +82,9 @@
 	s.sendSubquery(ctx, r, helper.member, runnable[helper.member.FailureDomain])
 }
 
-// isDelegable reports whether a request leaves enough time for delegation.
+// isDelegable reports whether a request is small enough for delegation and leaves enough time for it.
 func (s *State) isDelegable(r *request) bool {
-	if r.origin != nil || !r.isGathered() {
+	if r.origin != nil || !r.isGathered() || r.incoming.Size() > maxDelegatedBytes {
 		return false
 	}
 	target := float64(r.config.TargetLatency)
--- a/internal/reducer/relay/delegate_test.go
+++ b/internal/reducer/relay/delegate_test.go
@@ -130,6 +130,28 @@
 	return sim.stats(wideTarget), remote
 }
 
+// TestLargeRequestsAreNotDelegated guards against large requests that queue up for another node, or
+// exceed the size of a frame and so end the stream on which the requests of all callers go.
+func TestLargeRequestsAreNotDelegated(t *testing.T) {
+	const shards = 24
+	for _, c := range []struct {
+		size      int
+		delegates bool
+	}{{1, true}, {maxDelegatedBytes, false}} {
+		sim := newWideSimulation(t, 31, shards, true)
+		n := sim.nodes[0]
+		before := n.state.nextDelegation
+		sim.sendRequest(n, "/wide/"+strings.Repeat("x", c.size), 400*time.Millisecond)
+		sim.advance(time.Second)
+		if got := n.state.nextDelegation > before; got != c.delegates {
+			t.Errorf("request of %d bytes: delegated %v, want %v", c.size, got, c.delegates)
+		}
+		if len(sim.answers) != 1 || sim.answers[0].answer.Gathered == nil {
+			t.Errorf("request of %d bytes: no gathered answer", c.size)
+		}
+	}
+}
+
 // TestDelegatedShards checks that delegation sends fewer requests between domains without
 // worse answers, if a quarter of the shards have no replica in the node's domain.
 func TestDelegatedShards(t *testing.T) {
