peer: streams and header lists of a connection are bounded

Suspected, not shown by a crowd: a client that reaches the port for other nodes could open streams without bound on one connection, each with a frame of up to 4 MB under way. A peer needs one stream; four are allowed now, and 8 KB of headers.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,14 +24,19 @@
 	grpc     *grpc.Server
 }
 
-// handshakeTimeout bounds the time from a connection's opening to the end of its handshake.
-const handshakeTimeout = 10 * time.Second
+// Limits of a connection. A peer opens one stream, and another one while the first has not ended yet.
+const (
+	// handshakeTimeout bounds the time from a connection's opening to the end of its handshake.
+	handshakeTimeout = 10 * time.Second
+	maxStreams       = 4
+	maxHeadBytes     = 8 << 10
+)
 
 // NewServer returns a server that delivers messages to the listener.
 func NewServer(self model.HostID, creds credentials.TransportCredentials, listener Listener) *Server {
 	s := &Server{self: self, listener: listener}
 	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxFrameBytes),
-		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeadBytes),
 		grpc.ReadBufferSize(transportBufferBytes),
 		grpc.WriteBufferSize(transportBufferBytes))
 	peerpb.RegisterPeerServer(s.grpc, s)
