daemon: the project's own listeners are under the account, too

What callers saw: the same crowds as on the users' platform took the memory and the descriptors of a process that serves the project's own interface, for callers and for operators.

Cause: its servers had limits on each head and body, and none on all.

Change: both listeners and the one for other nodes go through the guard; bodies are read by it before the handlers run, with 408 and 503 where they were refused with 400.

--- a/cmd/hawthorntack/node.go
+++ b/cmd/hawthorntack/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/hawthorntack/hawthorntack/internal/auth"
 	"github.com/hawthorntack/hawthorntack/internal/daemon"
+	"github.com/hawthorntack/hawthorntack/internal/machine"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/platform"
 	"github.com/hawthorntack/hawthorntack/internal/reducer"
@@ -33,11 +34,34 @@
 	BodyLimit     string `long:"body-limit" env:"HAWTHORNTACK_BODY_LIMIT" default:"1M" description:"Maximum size of a request body"`
 	Seed          uint64 `long:"seed" env:"HAWTHORNTACK_SEED" description:"Seed of the node's random decisions; 0 takes one from the clock"`
 
+	machineSettings
 	reducerSettings
 	logSettings
 	tlsSettings
 }
 
+// machineSettings are the limits of the machine.
+type machineSettings struct {
+	MemoryLimit     string `long:"memory-limit" env:"HAWTHORNTACK_MEMORY_LIMIT" description:"Memory that the process may use, such as 512M; the machine's if it is empty. Clients may make it hold a quarter"`
+	DescriptorLimit int    `long:"descriptor-limit" env:"HAWTHORNTACK_DESCRIPTOR_LIMIT" description:"Descriptors that the process may open; the system's limit if it is 0. Clients may take four tenths of them"`
+}
+
+// machineLimits returns the limits of the machine; it returns *UsageError if a setting is invalid.
+func (s machineSettings) machineLimits() (machine.Limits, error) {
+	limits := machine.Limits{Descriptors: s.DescriptorLimit}
+	if s.DescriptorLimit < 0 {
+		return limits, &UsageError{Setting: "--descriptor-limit", Reason: "must be at least 0"}
+	}
+	if s.MemoryLimit != "" {
+		memory, err := bytes.Parse(s.MemoryLimit)
+		if err != nil {
+			return limits, &UsageError{Setting: "--memory-limit", Reason: err.Error()}
+		}
+		limits.Memory = memory
+	}
+	return limits.Or(machine.OfSystem()), nil
+}
+
 // maxWeight is the largest weight of a host.
 const maxWeight = 1000
 
@@ -146,8 +170,14 @@
 	if err != nil {
 		return daemon.Options{}, err
 	}
+	limits, err := c.machineLimits()
+	if err != nil {
+		return daemon.Options{}, err
+	}
+	machine.LimitHeap(limits.Memory)
 	client := platform.NewClient(c.Platform)
 	return daemon.Options{
+		Machine:       limits,
 		Host:          model.HostID(c.Host),
 		Incarnation:   daemon.NewIncarnation(),
 		FailureDomain: model.FailureDomain(c.FailureDomain),
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -34,6 +34,8 @@
 		return http.StatusConflict
 	case model.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case model.CodeRequestTimeout:
+		return http.StatusRequestTimeout
 	case model.CodeRateLimited:
 		return http.StatusTooManyRequests
 	case model.CodeInternal:
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -1,10 +1,12 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
+	"github.com/hawthorntack/hawthorntack/internal/guard"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 )
 
@@ -20,13 +23,15 @@
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 16 << 10
+	// MaxHeaderBytes bounds the head of a request.
+	MaxHeaderBytes = 16 << 10
 	// shutdownTimeout bounds the time in which open requests may finish.
 	shutdownTimeout = 2 * time.Second
 )
 
 // NewEcho returns an echo server with typed errors and a size limit for request bodies.
-// The limit is in the notation of echo, such as "1M".
+// The limit is in the notation of echo, such as "1M". Bodies on guarded connections are read before the
+// handlers run.
 func NewEcho(bodyLimit string) *echo.Echo {
 	e := echo.New()
 	e.HideBanner = true
@@ -34,19 +39,53 @@
 	e.HTTPErrorHandler = handleError
 	e.Use(middleware.Recover())
 	e.Use(middleware.BodyLimit(bodyLimit))
+	e.Use(readBody)
 	return e
 }
 
-// Serve runs an echo server on a listener until the context ends. Open requests then
-// have shutdownTimeout to finish.
-func Serve(ctx context.Context, e *echo.Echo, listener net.Listener) error {
-	server := &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+// readBody reads the body of a request on a guarded connection, which takes room for it.
+func readBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		if guard.FromContext(r.Context()) == nil {
+			return next(c)
+		}
+		body, err := guard.ReadBody(r, readTimeout)
+		if err != nil {
+			return refuseBody(c, err)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		return next(c)
+	}
+}
+
+// refuseBody returns the failure of a request whose body could not be read.
+func refuseBody(c echo.Context, err error) error {
+	var noRoom *guard.NoRoomError
+	var late *guard.BodyTimeoutError
+	var tooLarge *guard.BodyTooLargeError
+	switch {
+	case errors.As(err, &noRoom):
+		if noRoom.RetryAfter > 0 {
+			c.Response().Header().Set(echo.HeaderRetryAfter, guard.WholeSeconds(noRoom.RetryAfter))
+		}
+		return model.Failf(model.CodeOverloaded, "%v", err)
+	case errors.As(err, &late):
+		return model.Failf(model.CodeRequestTimeout, "%v", err)
+	case errors.As(err, &tooLarge):
+		return model.Failf(model.CodeTooLarge, "%v", err)
+	default:
+		return readBodyError(err)
 	}
+}
+
+// Serve runs an echo server on a guarded listener until the context ends. Open requests then
+// have shutdownTimeout to finish.
+func Serve(ctx context.Context, e *echo.Echo, g *guard.Guard, listener net.Listener) error {
+	server := g.Server(e)
+	server.ReadHeaderTimeout = readHeaderTimeout
+	server.IdleTimeout = idleTimeout
+	server.MaxHeaderBytes = MaxHeaderBytes
 	finished := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(finished)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/labstack/gommon/bytes"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
@@ -21,10 +22,13 @@
 	"github.com/hawthorntack/hawthorntack/internal/api"
 	"github.com/hawthorntack/hawthorntack/internal/auth"
 	"github.com/hawthorntack/hawthorntack/internal/event"
+	"github.com/hawthorntack/hawthorntack/internal/guard"
+	"github.com/hawthorntack/hawthorntack/internal/machine"
 	"github.com/hawthorntack/hawthorntack/internal/metrics"
 	"github.com/hawthorntack/hawthorntack/internal/model"
 	"github.com/hawthorntack/hawthorntack/internal/platform"
 	"github.com/hawthorntack/hawthorntack/internal/reducer"
+	"github.com/hawthorntack/hawthorntack/internal/reducer/quota"
 	"github.com/hawthorntack/hawthorntack/internal/runtime"
 )
 
@@ -39,6 +43,8 @@
 	ListenAdmin  string
 	// BodyLimit bounds request bodies in echo's notation, such as "1M".
 	BodyLimit string
+	// Machine holds the limits of the machine. Those of the system stand in for those that are zero.
+	Machine machine.Limits
 	// Tune modifies the reducer's settings. If it is nil, the defaults apply.
 	Tune  func(*reducer.Settings)
 	Store platform.Store
@@ -67,7 +73,9 @@
 	adminListener  net.Listener
 	node           *runtime.Node
 	registry       *prometheus.Registry
-	verifier       *auth.Verifier
+	// guard bounds what the clients of all listeners make the process hold.
+	guard    *guard.Guard
+	verifier *auth.Verifier
 }
 
 // ListenError reports an address on which a listener could not be opened.
@@ -92,21 +100,26 @@
 	d := &Daemon{options: options, registry: prometheus.NewRegistry()}
 	d.registry.MustRegister(collectors.NewGoCollector())
 	d.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if err := d.newGuard(); err != nil {
+		return nil, err
+	}
 	for _, l := range []struct {
 		setting  string
 		address  string
+		at       quota.Listener
+		carries  guard.Content
 		listener *net.Listener
 	}{
-		{"--listen-caller", options.ListenCaller, &d.callerListener},
-		{"--listen-peer", options.ListenPeer, &d.peerListener},
-		{"--listen-admin", options.ListenAdmin, &d.adminListener},
+		{"--listen-caller", options.ListenCaller, quota.Callers, contentOf(options.CallerTLS), &d.callerListener},
+		{"--listen-peer", options.ListenPeer, quota.Peers, guard.Streams, &d.peerListener},
+		{"--listen-admin", options.ListenAdmin, quota.Administration, contentOf(options.AdminTLS), &d.adminListener},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := guard.Listen(l.address)
 		if err != nil {
 			d.closeListeners()
 			return nil, &ListenError{Setting: l.setting, Err: err}
 		}
-		*l.listener = listener
+		*l.listener = d.guard.Wrap(listener, l.at, l.carries)
 	}
 	d.node = d.newNode()
 	metrics.NewGauges(d.registry, d.node.Calls())
@@ -119,6 +132,34 @@
 	return d, nil
 }
 
+// listenerShares says which part of the account for clients each listener may use.
+var listenerShares = map[quota.Listener]float64{
+	quota.Callers: 0.75, quota.Administration: 0.25,
+	// What is kept for other nodes lies beside the account.
+	quota.Peers: 0.25,
+}
+
+// newGuard sets the daemon's guard. It returns an error if the limit on bodies is malformed.
+func (d *Daemon) newGuard() error {
+	bodyLimit, err := bytes.Parse(d.options.BodyLimit)
+	if err != nil {
+		return fmt.Errorf("limit on bodies: %w", err)
+	}
+	d.guard = guard.New(guard.Options{
+		Machine: d.options.Machine.Or(machine.OfSystem()), Shares: listenerShares, Metrics: d.registry, Log: d.options.Log,
+	})
+	d.guard.SetRequestLimits(model.RequestLimits{HeaderBytes: api.MaxHeaderBytes, BodyBytes: int(bodyLimit)})
+	return nil
+}
+
+// contentOf returns what the connections of a listener carry.
+func contentOf(secured *tls.Config) guard.Content {
+	if secured != nil {
+		return guard.TLS
+	}
+	return guard.HTTP
+}
+
 // newNode returns the node, which announces the actual addresses of its listeners.
 func (d *Daemon) newNode() *runtime.Node {
 	o := d.options
@@ -167,8 +208,14 @@
 // Stop starts a graceful shutdown. A second call stops the node immediately.
 func (d *Daemon) Stop() { d.node.Submit(event.StopRequested{}) }
 
-// Dump returns the state dump as JSON.
-func (d *Daemon) Dump(ctx context.Context) ([]byte, error) { return d.node.Calls().Dump(ctx) }
+// Dump returns the state dump as JSON, with what the clients make the process hold.
+func (d *Daemon) Dump(ctx context.Context) ([]byte, error) {
+	dump, err := d.node.Calls().Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return d.guard.AddTo(dump)
+}
 
 // OpenRequestsError reports that the node stopped while requests were open.
 type OpenRequestsError struct {
@@ -192,7 +239,7 @@
 			l = tls.NewListener(l, t)
 		}
 		servers.Go(func() {
-			if err := api.Serve(ctx, e, l); err != nil {
+			if err := api.Serve(ctx, e, d.guard, l); err != nil {
 				failed <- err
 				cancel()
 			}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -20,10 +20,10 @@
 )
 
 // Parts of the machine that clients may make the process hold. The rest is kept for upstreams, other
-// nodes and the store.
+// nodes and the store; upstreams alone may need half of the descriptors.
 const (
 	memoryShare     = 0.25
-	descriptorShare = 0.5
+	descriptorShare = 0.4
 )
 
 // Options are the settings and dependencies of a Guard.
@@ -59,7 +59,7 @@
 		open:             make(map[quota.ID]*Connection),
 	}
 	if g.formatRetryAfter == nil {
-		g.formatRetryAfter = wholeSeconds
+		g.formatRetryAfter = WholeSeconds
 	}
 	g.reports = newReports(options.Log, options.Metrics, g.Usage)
 	return g
--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -40,8 +40,8 @@
 	_, _ = io.WriteString(w, reason.Error()+"\n")
 }
 
-// wholeSeconds formats a time in whole seconds, rounded up.
-func wholeSeconds(d time.Duration) string {
+// WholeSeconds formats a time in whole seconds, rounded up.
+func WholeSeconds(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
 
