guard: the rest of a pipelined head is passed on whole

Cause: empty lines before a request are skipped, and a head counted as not begun although its start lay in the buffer of net/http already.

Change: empty lines are skipped only before the first byte of a connection; later ones are left to net/http. What a refused connection holds is given back where it is refused, so that Close, which a shutdown may call at the same time, reads nothing that another goroutine writes.

--- a/internal/guard/connection.go
+++ b/internal/guard/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,8 +52,10 @@
 	bodyUnread bool
 	// unsent is the most that the kernel's send queue may hold of the answers so far, in bytes.
 	unsent int64
-	// refused is set once the connection has been told that its request is refused.
-	refused bool
+	// passedOn is set once net/http has got a byte of the connection.
+	passedOn bool
+	// refused is set once the client has been told that its request is refused.
+	refused atomic.Bool
 
 	mu sync.Mutex
 	// phase changes together with the account.
@@ -170,6 +173,7 @@
 			return 0, c.refuse(refusal)
 		}
 		if n = copy(p, p[skipped:n]); n > 0 || err != nil {
+			c.passedOn = true
 			return n, err
 		}
 	}
@@ -188,6 +192,11 @@
 		c.enter(quota.Busy)
 		return 0, nil
 	}
+	if c.passedOn {
+		// The start of the head may have come with the request before. Empty lines are only skipped
+		// where it certainly has not.
+		c.head.started = true
+	}
 	skipped = c.head.read(p)
 	if err := c.guard.checkHead(c.head.size); err != nil {
 		return 0, err
@@ -306,11 +315,12 @@
 		c.guard.reports.refused(c.at, refusedHead)
 	}
 	if c.carries == HTTP {
-		c.refused = true
+		c.refused.Store(true)
 		// A failure means that the client has closed the connection.
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
 		_, _ = io.WriteString(c.Conn, c.guard.refusalText(status, reason))
 	}
+	c.give(c.held)
 	return &net.OpError{Op: "read", Net: "tcp", Err: reason}
 }
 
@@ -338,8 +348,7 @@
 	var err error
 	c.closing.Do(func() {
 		_, evicted := c.status()
-		if c.refused && !evicted {
-			c.give(c.held)
+		if c.refused.Load() && !evicted {
 			go c.linger()
 			return
 		}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -276,3 +276,32 @@
 		t.Errorf("events reported by the next line: %d", got)
 	}
 }
+
+// TestRestOfPipelinedHead guards against a request that loses bytes because its head arrives in two
+// pieces, of which the first comes with the request before it and the second begins with a line end.
+func TestRestOfPipelinedHead(t *testing.T) {
+	address := serve(t, newGuard(plentyOfMemory))
+	for _, first := range []string{"GET / HTTP/1.1\r\nHost: h\r\nA: b", "GET / HTTP/1.1\r\nHost: h\r\nA: b\r", "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n"} {
+		second := strings.TrimPrefix("GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n\r\n", first)
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		_ = connection.SetDeadline(time.Now().Add(10 * time.Second))
+		reader := bufio.NewReader(connection)
+		_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+first)
+		for i, more := range []string{second, ""} {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatalf("%q: reply %d: %v", first, i, err)
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				t.Errorf("%q: reply %d has status %d", first, i, response.StatusCode)
+			}
+			_, _ = io.WriteString(connection, more)
+		}
+	}
+}
