--- a/cmd/hawthorntack/operations_page_test.go
+++ b/cmd/hawthorntack/operations_page_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	sources := readSources(t, "../../internal/reducer", "../../internal/model")
+	sources := readSources(t, "../../internal/reducer", "../../internal/model", "../../internal/guard")
 	row := regexp.MustCompile("(?m)^\\| `([a-z]+)` \\| (`[^|]*`) \\|")
 	// The first row is the table's header.
 	rows := row.FindAllStringSubmatch(string(page), -1)[1:]
--- a/internal/guard/reports.go
+++ b/internal/guard/reports.go
@@ -13,6 +13,8 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quota"
 )
 
+const component = "guard"
+
 // Reasons for which clients are refused.
 const (
 	refusedConnection  = "connection_room"
@@ -49,7 +51,7 @@
 // newReports registers the metrics.
 func newReports(log *logrus.Logger, registry prometheus.Registerer, usage func() []quota.Usage) *reports {
 	return &reports{
-		log:     log.WithField("component", "guard"),
+		log:     log.WithField("component", component),
 		metrics: metrics.NewClients(registry, usage),
 		counts:  make(map[string]*reportCount),
 	}
