machine: the program itself is counted among what the machine holds

Cause: the shares were parts of all memory, of which the program's code and the runtime's own structures take some 25 MB however small the machine is.

Change: they are parts of what is left beside 32 MB.

--- a/cmd/hawthorntack/node.go
+++ b/cmd/hawthorntack/node.go
@@ -42,7 +42,7 @@
 
 // machineSettings are the limits of the machine.
 type machineSettings struct {
-	MemoryLimit     string `long:"memory-limit" env:"HAWTHORNTACK_MEMORY_LIMIT" description:"Memory that the process may use, such as 512M; the machine's if it is empty. Clients may make it hold a quarter"`
+	MemoryLimit     string `long:"memory-limit" env:"HAWTHORNTACK_MEMORY_LIMIT" description:"Memory that the process may use, such as 512M; the machine's if it is empty. Clients may make it hold a quarter of what the program leaves"`
 	DescriptorLimit int    `long:"descriptor-limit" env:"HAWTHORNTACK_DESCRIPTOR_LIMIT" description:"Descriptors that the process may open; the system's limit if it is 0. Clients may take four tenths of them"`
 }
 
@@ -174,7 +174,7 @@
 	if err != nil {
 		return daemon.Options{}, err
 	}
-	machine.LimitHeap(limits.Memory)
+	limits.LimitHeap()
 	client := platform.NewClient(c.Platform)
 	return daemon.Options{
 		Machine:       limits,
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -19,7 +19,7 @@
 	"github.com/hawthorntack/hawthorntack/internal/reducer/quota"
 )
 
-// Parts of the machine that clients may make the process hold. The rest is kept for upstreams, other
+// Parts of the machine's usable memory and of its descriptors that clients may make the process hold. The rest is kept for upstreams, other
 // nodes and the store; upstreams alone may need half of the descriptors.
 const (
 	memoryShare     = 0.25
@@ -68,7 +68,7 @@
 // accountOf returns the size of the account on a machine.
 func accountOf(m machine.Limits) quota.Limits {
 	return quota.Limits{
-		Bytes:       int64(memoryShare * float64(m.Memory)),
+		Bytes:       int64(memoryShare * float64(m.Usable())),
 		Connections: int(descriptorShare * float64(m.Descriptors)),
 	}
 }
@@ -161,6 +161,13 @@
 	}
 }
 
+// keep returns all bytes of a connection beyond a number.
+func (g *Guard) keep(id quota.ID, bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.Keep(id, bytes)
+}
+
 // ask asks the account for room and evicts what it says.
 func (g *Guard) ask(request func(now model.Instant) quota.Decision) quota.Decision {
 	g.mu.Lock()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -27,12 +27,12 @@
 // testAnswerBytes is the size of the answer to "/large".
 const testAnswerBytes = 1 << 20
 
-// newGuard returns a guard with the limits of the tests, for a machine with a memory in bytes.
-func newGuard(memory int64) *Guard {
+// newGuard returns a guard with the limits of the tests, for a machine with a usable memory in bytes.
+func newGuard(usable int64) *Guard {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	g := New(Options{
-		Machine: machine.Limits{Memory: memory, Descriptors: 100}, Shares: map[quota.Listener]float64{quota.Callers: 1},
+		Machine: machine.Limits{Memory: usable + programBytes, Descriptors: 100}, Shares: map[quota.Listener]float64{quota.Callers: 1},
 		Metrics: prometheus.NewRegistry(), Log: log,
 	})
 	g.SetRequestLimits(model.RequestLimits{HeaderBytes: testHeadBytes, BodyBytes: testBodyBytes})
@@ -89,6 +89,8 @@
 }
 
 const (
+	// programBytes is the memory that is not usable.
+	programBytes   = 32 << 20
 	plentyOfMemory = 1 << 30
 	// littleMemory has room for a few small requests.
 	littleMemory = 4 * 320 << 10
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -29,6 +29,15 @@
 	return l
 }
 
+// programBytes is the memory that the program itself takes: its code, and what the runtime holds
+// besides the heap.
+const programBytes = 32 << 20
+
+// Usable returns the memory that is left beside the program itself, in bytes.
+func (l Limits) Usable() int64 {
+	return max(l.Memory-programBytes, 0)
+}
+
 // Limits that are assumed where the system states none.
 const (
 	assumedMemory      = 1 << 30
@@ -70,14 +79,17 @@
 	return int(min(limit.Cur, maxDescriptors))
 }
 
-// heapShare is the part of the memory at which the garbage collector begins to run more often. The
-// rest is for memory that the runtime does not manage.
-const heapShare = 0.7
+// heapShare is the part of the usable memory at which the garbage collector begins to run more often.
+// The rest is for the kernel's buffers and for pages that the runtime has not returned yet.
+const heapShare = 0.8
+
+// leastHeap is the size of a heap that the program needs in any case, in bytes.
+const leastHeap = 16 << 20
 
 // LimitHeap makes the garbage collector keep the process within the memory of the machine. The
 // variable GOMEMLIMIT goes before it.
-func LimitHeap(memory int64) {
+func (l Limits) LimitHeap() {
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+		debug.SetMemoryLimit(max(leastHeap, int64(heapShare*float64(l.Usable()))))
 	}
 }
--- a/internal/reducer/quota/quota.go
+++ b/internal/reducer/quota/quota.go
@@ -189,6 +189,13 @@
 	}
 }
 
+// Keep returns all bytes of a connection beyond a number.
+func (s *State) Keep(id ID, bytes int64) {
+	if c := s.connections[id]; c != nil {
+		s.Give(id, max(0, c.bytes-bytes))
+	}
+}
+
 // Enter records that a connection begins a phase. It returns false if the connection has been evicted
 // or closed.
 func (s *State) Enter(now model.Instant, id ID, phase Phase) bool {
