guard: the last answers on connections are bounded, too

What callers would have seen: callers that do not read the last answer on a connection made the kernel keep it: 100 KB each, without bound, once the process had closed the connection and the account had given it back.

Cause: a close hands the send queue to the kernel, out of reach of the account.

Change: a connection whose answer has not been sent stays open and in the account, as one whose answer is not read, until the client has taken it or a minute has passed. For want of room it is evicted like the others. A client that has closed only its sending side still gets all of it.

TestSlowReaderGetsWholeAnswer.

--- a/internal/guard/connection.go
+++ b/internal/guard/connection.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -51,7 +53,7 @@
 	// bodyUnread is set while the body of the request has not been read to its end.
 	bodyUnread bool
 	// unsent is the most that the kernel's send queue may hold of the answers so far, in bytes.
-	unsent int64
+	unsent atomic.Int64
 	// passedOn is set once net/http has got a byte of the connection.
 	passedOn bool
 	// refused is set once the client has been told that its request is refused.
@@ -201,13 +203,13 @@
 	if err := c.guard.checkHead(c.head.size); err != nil {
 		return 0, err
 	}
-	return skipped, c.take(c.unsent + c.head.cost() - c.held)
+	return skipped, c.take(c.unsent.Load() + c.head.cost() - c.held)
 }
 
 // beginRequest begins the work on a request whose head is complete. It returns *NoRoomError if there
 // is no room for it.
 func (c *Connection) beginRequest(r *http.Request) error {
-	if err := c.take(c.unsent + costOfHead(r) + requestBytes - c.held); err != nil {
+	if err := c.take(c.unsent.Load() + costOfHead(r) + requestBytes - c.held); err != nil {
 		return err
 	}
 	c.bodyUnread = r.Body != nil && r.Body != http.NoBody
@@ -235,12 +237,13 @@
 // holds of it.
 func (c *Connection) endRequest() {
 	c.give(c.held)
-	c.unsent = min(c.unsent, sendQueueBytes)
-	if c.unsent > bufferedAnswerBytes {
-		c.unsent = min(c.unsent, c.sendQueue())
+	unsent := min(c.unsent.Load(), sendQueueBytes)
+	if unsent > bufferedAnswerBytes {
+		unsent = min(unsent, c.sendQueue())
 	}
+	c.unsent.Store(unsent)
 	// If there is no room for it, the connection ends at the next request.
-	_ = c.take(c.unsent)
+	_ = c.take(unsent)
 	c.head = headReader{}
 	c.enter(quota.Idle)
 }
@@ -279,9 +282,7 @@
 	if phase == quota.Head || phase == quota.Body {
 		return
 	}
-	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP && phase == quota.Answer {
-		_ = tcp.SetLinger(0)
-	}
+	c.reset()
 	c.Conn.Close()
 }
 
@@ -341,32 +342,82 @@
 	lingerTime = 500 * time.Millisecond
 	// lingerBytes bounds what is read meanwhile.
 	lingerBytes = 256 << 10
+	// sendTime is how long a connection stays open for an answer that the client has not read to its
+	// end. The kernel would keep it after a close, out of reach of the account.
+	sendTime = time.Minute
+	// sendCheckInterval is the time between two looks at what is left of it.
+	sendCheckInterval = 100 * time.Millisecond
 )
 
-// Close implements net.Conn. A connection with a refused request first lingers.
+// Close implements net.Conn. The connection is closed later if its request was refused, or if much of
+// its answer has not been sent.
 func (c *Connection) Close() error {
 	var err error
 	c.closing.Do(func() {
 		_, evicted := c.status()
-		if c.refused.Load() && !evicted {
+		queued := int64(0)
+		if c.unsent.Load() > bufferedAnswerBytes {
+			queued = c.sendQueue()
+		}
+		switch {
+		case evicted:
+			err = c.Conn.Close()
+			c.release()
+		case queued > 0:
+			go c.awaitSent(queued)
+		case c.refused.Load():
 			go c.linger()
-			return
+		default:
+			err = c.Conn.Close()
+			c.release()
 		}
-		err = c.Conn.Close()
-		c.release()
 	})
 	return err
 }
 
-// linger waits for the client to close its side, and then closes the connection.
+// linger waits for the client of a refused request to close its side, and then closes the connection.
 func (c *Connection) linger() {
 	defer c.release()
 	defer c.Conn.Close()
+	c.closeWrite()
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
+// awaitSent closes the connection once the kernel has sent what it has of the answer, or sendTime has
+// passed. Until then the connection counts as one whose answer is not read.
+func (c *Connection) awaitSent(queued int64) {
+	defer c.release()
+	defer c.Conn.Close()
+	c.guard.keep(c.id, connectionBytes+queued)
+	c.enter(quota.Answer)
+	c.closeWrite()
+	for until := time.Now().Add(sendTime); time.Now().Before(until) && c.sendQueue() > 0; {
+		_ = c.SetReadDeadline(time.Now().Add(sendCheckInterval))
+		_, err := io.CopyN(io.Discard, c.Conn, lingerBytes)
+		switch {
+		case err == nil || errors.Is(err, io.EOF):
+			// A client that has closed its sending side may read on.
+			time.Sleep(sendCheckInterval)
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		}
+	}
+	c.reset()
+}
+
+// closeWrite tells the client that nothing follows what has been written.
+func (c *Connection) closeWrite() {
 	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
+// reset makes the kernel drop what it has not sent when the connection is closed.
+func (c *Connection) reset() {
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP && c.sendQueue() > 0 {
+		_ = tcp.SetLinger(0)
+	}
 }
 
 // release returns all that the connection holds.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -307,3 +307,49 @@
 		}
 	}
 }
+
+// TestSlowReaderGetsWholeAnswer guards against the last answer on a connection that is cut because the
+// client reads it late, also if the client has closed its sending side.
+func TestSlowReaderGetsWholeAnswer(t *testing.T) {
+	g := newGuard(plentyOfMemory)
+	address := serve(t, g)
+	for _, halfClosed := range []bool{false, true} {
+		connection, err := net.DialTCP("tcp", nil, mustResolve(t, address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		_ = connection.SetReadBuffer(receiveBufferBytes)
+		_, _ = io.WriteString(connection, "GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		if halfClosed {
+			_ = connection.CloseWrite()
+		}
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		size := 0
+		for buffer := make([]byte, testAnswerBytes/10); ; {
+			n, err := io.ReadFull(response.Body, buffer)
+			if size += n; err != nil {
+				break
+			}
+			time.Sleep(4 * sendCheckInterval)
+		}
+		if size != testAnswerBytes {
+			t.Errorf("half closed %v: %d bytes of %d", halfClosed, size, testAnswerBytes)
+		}
+	}
+	awaitEmpty(t, g)
+}
+
+// mustResolve returns a TCP address.
+func mustResolve(t *testing.T, address string) *net.TCPAddr {
+	t.Helper()
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resolved
+}
--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -81,7 +81,7 @@
 func (w *answerWriter) Write(p []byte) (int, error) {
 	w.start()
 	c, size := w.connection, int64(len(p))
-	c.unsent += size
+	c.unsent.Add(size)
 	if size <= bufferedAnswerBytes {
 		return w.ResponseWriter.Write(p)
 	}
