quota: wording of the eviction times

A check against requests on connections that the server has closed was tried here and left out: net/http already serves none once it shuts down, and the test for it passed without the check.

--- a/internal/reducer/quota/quota.go
+++ b/internal/reducer/quota/quota.go
@@ -57,8 +57,7 @@
 	return [phaseCount]string{"head", "body", "idle", "answer", "busy"}[p]
 }
 
-// Times after which a connection may be evicted. Clients that do not evade their own work finish
-// long before.
+// Times after which a connection may be evicted. Well-behaved clients finish long before.
 const (
 	// slowRequest is the age of a request that is not complete.
 	slowRequest = 250 * time.Millisecond
