machine: the lowest limit holds, whoever states it

What callers would have seen: a process whose system, control group or open-file limit allows less than its settings say would have granted its clients room that it does not have; on a machine with fewer than 40 descriptors readiness checks and metrics had no connection at all.

Change: of the settings' and the system's limits the lower one holds, and a control group's memory counts. Each listener has two connections at least.

Evidence: TestLowerLimitHolds.

--- a/cmd/hawthorntack/edge.go
+++ b/cmd/hawthorntack/edge.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return &UsageError{Setting: "--settings", Reason: err.Error()}
 	}
-	settings.Machine.Or(machine.OfSystem()).LimitHeap()
+	settings.Machine.Within(machine.OfSystem()).LimitHeap()
 	d, err := platform.New(platform.Options{
 		Settings:    settings,
 		Incarnation: daemon.NewIncarnation(),
--- a/cmd/hawthorntack/node.go
+++ b/cmd/hawthorntack/node.go
@@ -59,7 +59,7 @@
 		}
 		limits.Memory = memory
 	}
-	return limits.Or(machine.OfSystem()), nil
+	return limits.Within(machine.OfSystem()), nil
 }
 
 // maxWeight is the largest weight of a host.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,7 +43,7 @@
 	ListenAdmin  string
 	// BodyLimit bounds request bodies in echo's notation, such as "1M".
 	BodyLimit string
-	// Machine holds the limits of the machine. Those of the system stand in for those that are zero.
+	// Machine holds the limits of the machine, if they are lower than those of the system.
 	Machine machine.Limits
 	// Tune modifies the reducer's settings. If it is nil, the defaults apply.
 	Tune  func(*reducer.Settings)
@@ -146,7 +146,7 @@
 		return fmt.Errorf("limit on bodies: %w", err)
 	}
 	d.guard = guard.New(guard.Options{
-		Machine: d.options.Machine.Or(machine.OfSystem()), Shares: listenerShares, Metrics: d.registry, Log: d.options.Log,
+		Machine: d.options.Machine.Within(machine.OfSystem()), Shares: listenerShares, Metrics: d.registry, Log: d.options.Log,
 	})
 	d.guard.SetRequestLimits(model.RequestLimits{HeaderBytes: api.MaxHeaderBytes, BodyBytes: int(bodyLimit)})
 	return nil
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 )
@@ -18,15 +19,17 @@
 	Descriptors int
 }
 
-// Or returns the limits with those of another source in place of those that are not known.
-func (l Limits) Or(other Limits) Limits {
-	if l.Memory <= 0 {
-		l.Memory = other.Memory
-	}
-	if l.Descriptors <= 0 {
-		l.Descriptors = other.Descriptors
+// Within returns the lower one of each limit and that of another source.
+func (l Limits) Within(other Limits) Limits {
+	return Limits{Memory: lower(l.Memory, other.Memory), Descriptors: lower(l.Descriptors, other.Descriptors)}
+}
+
+// lower returns the lower one of two limits of which either may not be known.
+func lower[N int | int64](a, b N) N {
+	if a <= 0 || b > 0 && b < a {
+		return b
 	}
-	return l
+	return a
 }
 
 // programBytes is the memory that the program itself takes: its code, and what the runtime holds
@@ -51,8 +54,30 @@
 	return Limits{Memory: systemMemory(), Descriptors: systemDescriptors()}
 }
 
-// systemMemory returns the memory of the machine, in bytes.
+// cgroupMemoryFile holds the limit on the memory of the process's control group, or the word "max".
+const cgroupMemoryFile = "/sys/fs/cgroup/memory.max"
+
+// systemMemory returns the memory of the machine or of the process's control group, in bytes.
 func systemMemory() int64 {
+	return lower(groupMemory(), machineMemory())
+}
+
+// groupMemory returns the limit on the memory of the process's control group, in bytes, or zero if there
+// is none.
+func groupMemory() int64 {
+	content, err := os.ReadFile(cgroupMemoryFile)
+	if err != nil {
+		return 0
+	}
+	limit, err := strconv.ParseInt(strings.TrimSpace(string(content)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return limit
+}
+
+// machineMemory returns the memory of the machine, in bytes.
+func machineMemory() int64 {
 	file, err := os.Open("/proc/meminfo")
 	if err != nil {
 		return assumedMemory
--- a/internal/reducer/quota/quota.go
+++ b/internal/reducer/quota/quota.go
@@ -81,6 +81,9 @@
 	smallBytes = 128 << 10
 	// largeShare is the part of a listener's share that larger requests may use.
 	largeShare = 0.75
+	// leastConnections is a listener's share on the smallest machine: one ordinary client beside a
+	// slow one.
+	leastConnections = 2
 	// closingShare bounds what evicted connections still hold, as a part of a listener's share.
 	closingShare = 0.25
 	// retryWhenBusy is the time after which a client is told to come back if no connection is about
@@ -138,7 +141,9 @@
 // SetLimits changes the size of the account. What is held beyond lower limits stays held.
 func (s *State) SetLimits(limits Limits) {
 	for l, part := range s.shares {
-		s.listeners[l].limits = limits.share(part)
+		share := limits.share(part)
+		share.Connections = max(share.Connections, leastConnections)
+		s.listeners[l].limits = share
 	}
 }
 
