--- a/review/harness3/backend.go
+++ b/review/harness3/backend.go
@@ -49,6 +49,8 @@
 	// work is how long the backend works on a request.
 	work time.Duration
 	runs *runs
+	// crashes reports whether a request crashes the backend that begins to run it; nil means that none does.
+	crashes func(request *http.Request) bool
 
 	listener net.Listener
 	slot     chan struct{}
@@ -60,17 +62,44 @@
 	isOff    bool
 }
 
-// start opens the listener.
+// start opens a listener.
 func (b *backend) start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("backend %s: %w", b.id, err)
 	}
-	b.listener, b.slot, b.open, b.born = listener, make(chan struct{}, b.slots), make(map[net.Conn]bool), time.Now().UnixMilli()
-	go b.accept()
+	b.listener, b.slot, b.open = listener, make(chan struct{}, b.slots), make(map[net.Conn]bool)
+	b.born, b.sequence, b.isOff = time.Now().UnixMilli(), 0, false
+	go b.accept(listener)
 	return nil
 }
 
+// crash resets all connections and refuses new ones for a time. The backend is back under its
+// id then, at another address.
+func (b *backend) crash(downtime time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.isOff {
+		return
+	}
+	b.isOff = true
+	b.listener.Close()
+	for c := range b.open {
+		if tcp, isTCP := c.(*net.TCPConn); isTCP {
+			// An error means that the connection has ended.
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+	time.AfterFunc(downtime, func() {
+		if err := b.start(); err != nil {
+			panic(err)
+		}
+	})
+}
+
 // stop closes the listener and all connections.
 func (b *backend) stop() {
 	b.mu.Lock()
@@ -82,21 +111,36 @@
 	}
 }
 
-// entry returns the next value of the backend's entry in the store.
+// entry returns the next value of the backend's entry in the store, or nil if the backend is off.
 func (b *backend) entry() ([]byte, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.isOff {
+		return nil, nil
+	}
 	b.sequence++
-	return json.Marshal(map[string]any{
+	return json.Marshal(b.fields())
+}
+
+// fields returns the fields of the entry. The caller holds the lock.
+func (b *backend) fields() map[string]any {
+	return map[string]any{
 		"service": b.service, "address": b.listener.Addr().String(), "zone": b.zone, "version": "v1", "slots": b.slots,
 		"state": "ready", "warmupRemainingMs": 0, "sequence": b.sequence, "born": b.born,
-	})
+	}
+}
+
+// lastEntry returns the fields of the entry that was written last.
+func (b *backend) lastEntry() map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fields()
 }
 
 // accept serves connections until the listener is closed.
-func (b *backend) accept() {
+func (b *backend) accept(listener net.Listener) {
 	for {
-		c, err := b.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -129,22 +173,40 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		if _, err := c.Write(b.answer(request)); err != nil {
+		answer := b.answer(request)
+		if answer == nil {
+			return
+		}
+		if _, err := c.Write(answer); err != nil {
 			return
 		}
 	}
 }
 
-// answer runs a request and returns the answer. A request for another backend is rejected.
+// crashDelay is the time after which a request that crashes the backend does so, and downtime how long the
+// backend is down then.
+const (
+	crashDelay = 20 * time.Millisecond
+	downtime   = 2500 * time.Millisecond
+)
+
+// answer runs a request and returns the answer, or nil if the request crashes the backend. A request for
+// another backend is rejected.
 func (b *backend) answer(request *http.Request) []byte {
 	id := request.Header.Get("Attempt-Id")
 	if target := request.Header.Get("Target-Instance"); target != "" && target != b.id {
 		return []byte(b.head(http.StatusMisdirectedRequest, id) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
-	b.slot <- struct{}{}
+	slot := b.slot
+	slot <- struct{}{}
 	b.runs.add(id, arrival{backend: b.id, service: b.service, at: time.Now()})
+	if b.crashes != nil && b.crashes(request) {
+		time.Sleep(crashDelay)
+		b.crash(downtime)
+		return nil
+	}
 	time.Sleep(b.work)
-	<-b.slot
+	<-slot
 	body := b.service + " has run " + id
 	return fmt.Appendf(nil, "%sResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s", b.head(http.StatusOK, id), signature(b.service, id), len(body), body)
 }
--- a/review/harness3/caller.go
+++ b/review/harness3/caller.go
@@ -21,8 +21,9 @@
 	id, node    string
 	sent, ended time.Time
 	// status is zero if the connection ended without a complete answer, for the reason in err.
-	status int
-	err    error
+	status    int
+	signature string
+	err       error
 }
 
 // callers records what all callers have seen.
@@ -48,9 +49,9 @@
 }
 
 // send sends an order and records its outcome. It reports whether the connection can be used again.
-func (c *callers) send(conn *connection, id, body string) (reusable bool) {
+func (c *callers) send(conn *connection, path, id, body string) (reusable bool) {
 	o := outcome{id: id, node: conn.node.name, sent: time.Now()}
-	o.status, reusable, o.err = conn.exchange(id, body)
+	reusable = conn.exchange(&o, path, body)
 	o.ended = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -58,24 +59,27 @@
 	return reusable
 }
 
-// exchange writes an order and reads its answer.
-func (c *connection) exchange(id, body string) (status int, reusable bool, err error) {
-	if err := c.SetDeadline(time.Now().Add(orderTimeout + time.Second)); err != nil {
-		return 0, false, err
+// exchange writes an order, reads its answer and completes the outcome. It reports whether the connection
+// can be used again.
+func (c *connection) exchange(o *outcome, path, body string) (reusable bool) {
+	if o.err = c.SetDeadline(time.Now().Add(orderTimeout + time.Second)); o.err != nil {
+		return false
 	}
-	_, err = fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		orderPrefix, id, callerHost, id, orderTimeout.Milliseconds(), len(body), body)
-	if err != nil {
-		return 0, false, err
+	_, o.err = fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		orderPrefix, path, callerHost, o.id, orderTimeout.Milliseconds(), len(body), body)
+	if o.err != nil {
+		return false
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
-		return 0, false, err
+		o.err = err
+		return false
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0, false, err
+	if _, o.err = io.Copy(io.Discard, response.Body); o.err != nil {
+		return false
 	}
-	return response.StatusCode, !response.Close, nil
+	o.status, o.signature = response.StatusCode, response.Header.Get("Response-Signature")
+	return !response.Close
 }
 
 // kept sends orders to a node on a connection that it keeps.
@@ -85,8 +89,8 @@
 	connection *connection
 }
 
-// send sends an order, on a new connection if there is none.
-func (k *kept) send(id, body string) {
+// send sends an order to a path below orderPrefix, on a new connection if there is none.
+func (k *kept) send(path, id, body string) {
 	if k.connection == nil {
 		conn, err := dial(k.node)
 		if err != nil {
@@ -94,7 +98,7 @@
 		}
 		k.connection = conn
 	}
-	if !k.callers.send(k.connection, id, body) {
+	if !k.callers.send(k.connection, path, id, body) {
 		k.close()
 	}
 }
--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -122,7 +122,9 @@
 		f.record.printf("entry of %s: %v", b.id, err)
 		return
 	}
-	f.store.Put("servers/"+b.id, entry)
+	if entry != nil {
+		f.store.Put("servers/"+b.id, entry)
+	}
 }
 
 // orderRoute returns the route for orders.
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -16,7 +16,10 @@
 
 // cases maps the name of a case to its function, which returns the violations of the rule.
 var cases = map[string]func(run *run) ([]string, error){
-	"split-scale": splitScale,
+	"split-scale":    splitScale,
+	"changing-query": changingQuery,
+	"other-case":     otherCase,
+	"no-born":        noBorn,
 }
 
 // run is one run of a case.
--- a/review/harness3/split_scale.go
+++ b/review/harness3/split_scale.go
@@ -81,7 +81,8 @@
 			k := kept{node: n, callers: c}
 			defer k.close()
 			for i := range count() {
-				k.send(fmt.Sprintf("%d-%s-%s-%d", os.Getpid(), name, n.name, i), "one bed, from Monday")
+				id := fmt.Sprintf("%d-%s-%s-%d", os.Getpid(), name, n.name, i)
+				k.send(id, id, "one bed, from Monday")
 				time.Sleep(orderInterval)
 			}
 		})
