--- a/review/harness3/backend.go
+++ b/review/harness3/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -94,8 +95,9 @@
 		c.Close()
 	}
 	time.AfterFunc(downtime, func() {
+		// Without a port the backend stays down.
 		if err := b.start(); err != nil {
-			panic(err)
+			fmt.Fprintln(os.Stderr, err)
 		}
 	})
 }
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -14,6 +15,9 @@
 	exitNotRun = 2
 )
 
+// maxTime bounds the time of a case.
+const maxTime = 110 * time.Second
+
 // cases maps the name of a case to its function, which returns the violations of the rule.
 var cases = map[string]func(run *run) ([]string, error){
 	"split-scale":    splitScale,
@@ -49,7 +53,10 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-interrupted
+		select {
+		case <-interrupted:
+		case <-time.After(maxTime):
+		}
 		r.fleet.stop()
 		os.Exit(exitNotRun)
 	}()
