--- a/review/harness3/changing_query.go
+++ b/review/harness3/changing_query.go
@@ -85,13 +85,15 @@
 	}
 }
 
-// reportOthers records the orders of ordinary callers that ran and were not answered by their backend.
+// reportOthers records the orders of ordinary callers, and counts those that ran and were not answered by
+// their backend.
 func reportOthers(r *run, c *callers, ran *runs) {
 	lost := 0
 	for _, o := range c.outcomes {
-		if o.status != http.StatusOK && len(ran.of(o.id)) > 0 {
+		arrivals := ran.of(o.id)
+		r.record.printf("order %s at %s: status %d (%v), run at %v", o.id, o.node, o.status, o.err, arrivals)
+		if o.status != http.StatusOK && len(arrivals) > 0 {
 			lost++
-			r.record.printf("order %s at %s: status %d (%v), run at %v", o.id, o.node, o.status, o.err, ran.of(o.id))
 		}
 	}
 	summary := fmt.Sprintf("%d of %d orders of other callers had begun to run and got no answer of their backend", lost, len(c.outcomes))
--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -204,7 +205,9 @@
 	if n.log, err = os.Create(filepath.Join(f.folder, n.name+".log")); err != nil {
 		return err
 	}
+	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
 	return n.start()
 }
 
@@ -236,8 +239,14 @@
 	return true
 }
 
-// start starts the process. It is started again whenever it ends, as on the platform.
+// start starts the process, unless the run is ending. It is started again whenever it ends, as on the
+// platform.
 func (n *node) start() error {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.fleet.stopping {
+		return errors.New("the run is ending")
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	command := exec.Command(program, "edge", "--metrics-port", "9464")
@@ -305,8 +314,9 @@
 		return
 	}
 	f.stopping = true
+	nodes, backends := slices.Clone(f.nodes), slices.Clone(f.backends)
 	f.mu.Unlock()
-	for _, n := range f.nodes {
+	for _, n := range nodes {
 		n.mu.Lock()
 		n.isOff = true
 		command, exited := n.command, n.exited
@@ -319,7 +329,7 @@
 		<-exited
 		n.log.Close()
 	}
-	for _, b := range f.backends {
+	for _, b := range backends {
 		b.stop()
 	}
 	if f.server != nil {
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -55,9 +55,12 @@
 	go func() {
 		select {
 		case <-interrupted:
+			record.printf("the case was interrupted")
 		case <-time.After(maxTime):
+			record.printf("the case took too long")
 		}
 		r.fleet.stop()
+		record.close()
 		os.Exit(exitNotRun)
 	}()
 	violations, err := cases[os.Args[1]](r)
